--- /dev/null
+++ b/src/burdockhead/main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("burdockhead " BURDOCKHEAD_VERSION);
+    return 0;
+}
--- /dev/null
+++ b/src/burdockhead/routing/requestfacts.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <burdockhead/base/name.h>
+#include <burdockhead/base/requestid.h>
+#include <burdockhead/base/timepoint.h>
+
+#include <cstdint>
+#include <string>
+
+namespace burdockhead {
+
+// What decisions need to know of a request; the same at an entry and at an agent.
+struct RequestFacts
+{
+    RequestId m_id;
+    WorkspaceName m_workspace;
+    KindName m_kind;
+    ModelName m_model;              // Empty for a plain service.
+    AdapterName m_adapter;          // Empty for none.
+    std::uint64_t m_prefixHash = 0; // Of the prompt's leading part; 0 for none.
+    std::uint32_t m_priority = 1;   // 0 is the lowest, 9 the highest.
+    bool m_repeatable = true;
+    std::string m_key; // The Idempotency-Key; empty for none.
+    TimePoint m_deadline;
+
+    friend bool operator==(const RequestFacts &, const RequestFacts &) = default;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/internal/http/test_httproundtrip.cpp
@@ -0,0 +1,78 @@
+#include <burdockhead/http/httpclient.h>
+#include <burdockhead/http/httpserver.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <freeport.h>
+
+using namespace burdockhead;
+
+namespace {
+
+HttpCall callTo(const SocketAddress &address, const std::string &path, std::string body)
+{
+    HttpCall call;
+    call.m_method = "POST";
+    call.m_url = "http://" + address.toString() + path;
+    call.m_body = std::move(body);
+    call.m_deadline = Clock::now() + Seconds(20);
+    return call;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpRoundTrip)
+
+BOOST_AUTO_TEST_CASE(whole_and_chunked_responses_arrive_whole)
+{
+    HttpServerOptions options;
+    options.m_listen = freeLoopbackAddress();
+    HttpServer server(options, [](const HttpRequest &request, const auto &responder) {
+        if (request.m_path == "/whole") {
+            responder->respond({201, {{"X-Echo", "yes"}}, request.m_body});
+            return;
+        }
+        responder->begin(200, {});
+        for (int index = 0; index < 500; ++index)
+            responder->write(std::to_string(index) + ",");
+        responder->finish();
+    });
+    BOOST_REQUIRE(server.start());
+    HttpClient client;
+    Failure failure;
+    const auto whole = client.callAndWait(callTo(options.m_listen, "/whole", "abc"), failure);
+    BOOST_REQUIRE(whole.has_value());
+    BOOST_TEST(whole->m_status == 201);
+    BOOST_TEST(whole->m_body == "abc");
+    const auto chunked = client.callAndWait(callTo(options.m_listen, "/chunks", ""), failure);
+    BOOST_REQUIRE(chunked.has_value());
+    BOOST_TEST(chunked->m_body.ends_with("498,499,"));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_over_the_limit_gets_a_clear_error)
+{
+    HttpServerOptions options;
+    options.m_listen = freeLoopbackAddress();
+    options.m_maxBodyBytes = 100;
+    HttpServer server(options, [](const HttpRequest &, const auto &responder) {
+        responder->respond({200, {}, "ok"});
+    });
+    BOOST_REQUIRE(server.start());
+    HttpClient client;
+    Failure failure;
+    const auto answer =
+        client.callAndWait(callTo(options.m_listen, "/", std::string(150, 'x')), failure);
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 413);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_to_a_closed_port_fails_without_a_connection)
+{
+    HttpClient client;
+    Failure failure;
+    const auto answer = client.callAndWait(callTo(freeLoopbackAddress(), "/", ""), failure);
+    BOOST_TEST(!answer.has_value());
+    BOOST_TEST((failure.m_kind == ErrorKind::PeerUnreachable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
