Carry frames between entry and agent, and an answer to its caller

Cause: a request has to travel entry -> agent -> endpoint with its id, attempt and offsets, so that late, crossed and doubled pieces can be told apart.

Ruled out: one nng message a piece (about 130 microseconds of processor time a round trip); HTTP between entry and agent (a connection a request, and no place for attempts and offsets).

--- /dev/null
+++ b/src/burdockhead/entry/flowparts.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <burdockhead/base/guarded.h>
+#include <burdockhead/entry/flowobserver.h>
+#include <burdockhead/entry/replicadirectory.h>
+#include <burdockhead/routing/entryrouter.h>
+
+#include <atomic>
+#include <cstdint>
+
+namespace burdockhead {
+
+class AgentLinks;
+class KeyBinder;
+class WorkerPool;
+
+// What the flows of one entry share. Everything here outlives every flow.
+struct FlowParts
+{
+    WorkerPool &m_pool;
+    AgentLinks &m_links;
+    Guarded<EntryRouter> &m_router;
+    Guarded<ReplicaDirectory> &m_directory;
+    KeyBinder &m_keys;
+    FlowObserver &m_observer;
+    std::uint64_t m_sender = 0; // The entry's incarnation, part of every attempt's id.
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/transport/cancelframe.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <burdockhead/transport/attemptid.h>
+
+namespace burdockhead {
+
+// Entry to agent: nobody waits for this attempt any more.
+struct CancelFrame
+{
+    AttemptId m_attempt;
+
+    friend bool operator==(const CancelFrame &, const CancelFrame &) = default;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/transport/endframe.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <burdockhead/admission/loadreport.h>
+#include <burdockhead/transport/attemptid.h>
+
+namespace burdockhead {
+
+// Agent to entry: the answer is whole.
+struct EndFrame
+{
+    AttemptId m_attempt;
+    std::uint64_t m_length = 0; // Bytes in the whole body.
+    LoadReport m_load;
+
+    friend bool operator==(const EndFrame &, const EndFrame &) = default;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/transport/failureframe.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <burdockhead/admission/loadreport.h>
+#include <burdockhead/base/errorkind.h>
+#include <burdockhead/base/runstate.h>
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/transport/attemptid.h>
+
+#include <string>
+
+namespace burdockhead {
+
+// Agent to entry: there is no answer, or it broke off. On the wire the time to come back is
+// the time left.
+struct FailureFrame
+{
+    AttemptId m_attempt;
+    ErrorKind m_kind = ErrorKind::Internal;
+    RunState m_runState = RunState::Unknown;
+    std::string m_reason;
+    TimePoint m_comeBack;
+    LoadReport m_load;
+
+    friend bool operator==(const FailureFrame &, const FailureFrame &) = default;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/transport/headframe.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <burdockhead/transport/attemptid.h>
+
+#include <string>
+
+namespace burdockhead {
+
+// Agent to entry: the head of the endpoint's answer.
+struct HeadFrame
+{
+    AttemptId m_attempt;
+    int m_status = 0;
+    std::string m_contentType;
+    bool m_replayed = false; // From the ledger: the request ran before.
+
+    friend bool operator==(const HeadFrame &, const HeadFrame &) = default;
+};
+
+} // namespace burdockhead
