--- /dev/null
+++ b/src/burdockhead/routing/routetarget.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <burdockhead/base/incarnation.h>
+#include <burdockhead/base/name.h>
+#include <burdockhead/base/socketaddress.h>
+
+#include <compare>
+
+namespace burdockhead {
+
+// The replica that a request is sent to.
+struct RouteTarget
+{
+    EndpointName m_endpoint;
+    SocketAddress m_link;
+    Incarnation m_incarnation;
+    DataCentreName m_dataCentre;
+
+    friend auto operator<=>(const RouteTarget &, const RouteTarget &) = default;
+};
+
+} // namespace burdockhead
