Read settings and configurations from INI with checks

Cause: the entry and the agent need their settings, and every process needs the configuration, with each mistake named by file, line, section and key.

inih is fed line by line through its stream reader, so that the line of each key is known without the library's line-number option, which the Debian package lacks. Ruled out: Boost.PropertyTree (keeps no lines, takes a note into the value) and inih's own section name (cut at 49 bytes, none reported for a section without keys); headings are read beside it.

Keys are tables of bindings; reading, printing and the key descriptions come from them.

--- /dev/null
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -0,0 +1,269 @@
+#include <burdockhead/settings/keybinding.h>
+#include <burdockhead/settings/settingstext.h>
+
+#include <algorithm>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::uint64_t maxMilliseconds = 24ULL * 60 * 60 * 1000;
+constexpr std::uint64_t maxCount = 1000000;
+constexpr std::uint64_t maxBodyBytes = 1ULL << 30;
+
+// A section of a settings file with its keys.
+template <typename Settings>
+struct SectionBinding
+{
+    std::string m_type;
+    bool m_required = false;
+    std::vector<KeyBinding<Settings>> m_keys;
+};
+
+bool isPath(const std::string &text)
+{
+    return text.starts_with('/') && text.find_first_of(" ?#") == std::string::npos;
+}
+
+bool isHeaderName(const std::string &text)
+{
+    return isValidName(text);
+}
+
+template <typename Settings>
+using SectionBindings = std::vector<SectionBinding<Settings>>;
+
+// Wraps a binding of the limits as one of the settings that hold them.
+template <typename Settings, typename Number>
+KeyBinding<Settings> bindLimit(const std::string &key, Number ProcessLimits::*member,
+                               std::uint64_t low, std::uint64_t high, const std::string &meaning)
+{
+    const auto inner = bindNumber<ProcessLimits>(key, member, low, high, meaning);
+    return {key,
+            inner.m_allowed,
+            meaning,
+            false,
+            [inner](const std::string &text, Settings &settings) {
+                return inner.m_read(text, settings.m_limits);
+            },
+            [inner](const Settings &settings) { return inner.m_print(settings.m_limits); }};
+}
+
+template <typename Settings>
+SectionBinding<Settings> processSection()
+{
+    using S = Settings;
+    return {
+        "process",
+        true,
+        {bindKey<S>("name", &S::m_name, allowedName, "The process's name; unique").required(),
+         bindKey<S>("data_centre", &S::m_dataCentre, allowedName, "The data centre that it runs in")
+             .required(),
+         bindKey<S>("log_level", &S::m_logLevel, "debug, info, warning or error",
+                    "The lowest level that is logged")}};
+}
+
+template <typename Settings>
+SectionBinding<Settings> listenSection()
+{
+    using S = Settings;
+    return {"listen",
+            true,
+            {bindKey<S>("operators", &S::m_operators, allowedAddress,
+                        "Health, readiness, metrics, time line and configuration")
+                 .required(),
+             bindKey<S>("control", &S::m_control, allowedAddress,
+                        "Messages between the system's processes")
+                 .required()}};
+}
+
+template <typename Settings>
+SectionBinding<Settings> platformSection()
+{
+    return {"platform",
+            true,
+            {bindKey<Settings>("url", &Settings::m_platform,
+                               "http://IP-NUMBER:PORT without a slash at the end",
+                               "The platform's object API")
+                 .required()}};
+}
+
+template <typename Settings>
+SectionBinding<Settings> limitsSection()
+{
+    using S = Settings;
+    using L = ProcessLimits;
+    return {"limits",
+            false,
+            {bindLimit<S>("max_body_bytes", &L::m_maxBodyBytes, 1, maxBodyBytes,
+                          "Bytes of a request's body"),
+             bindLimit<S>("max_header_count", &L::m_maxHeaderCount, 1, maxCount,
+                          "Header fields of a request"),
+             bindLimit<S>("max_connections", &L::m_maxConnections, 1, maxCount,
+                          "Open connections on a port"),
+             bindLimit<S>("max_waiting_requests", &L::m_maxWaitingRequests, 0, maxCount,
+                          "Requests that may wait in the process"),
+             bindLimit<S>("answer_hold_ms", &L::m_answerHold, 1, maxMilliseconds,
+                          "How long an answer about addresses holds"),
+             bindLimit<S>("drain_ms", &L::m_drain, 0, maxMilliseconds,
+                          "How long a stop waits for requests in flight")}};
+}
+
+template <typename Settings>
+SectionBinding<Settings> seedsSection()
+{
+    return {"seeds",
+            false,
+            {bindKey<Settings>("control", &Settings::m_seeds, allowedAddressList,
+                               "Control addresses to join by when the platform is down")}};
+}
+
+const SectionBindings<EntrySettings> &sectionBindings(const EntrySettings *)
+{
+    using S = EntrySettings;
+    static const SectionBindings<S> bindings = [] {
+        SectionBinding<S> listen = listenSection<S>();
+        listen.m_keys.push_back(
+            bindKey<S>("callers", &S::m_callers, allowedAddress, "Requests from callers")
+                .required());
+        return SectionBindings<S>{processSection<S>(), listen, platformSection<S>(),
+                                  limitsSection<S>(), seedsSection<S>()};
+    }();
+    return bindings;
+}
+
+SectionBinding<AgentSettings> endpointSection()
+{
+    using S = AgentSettings;
+    return {
+        "endpoint",
+        true,
+        {bindKey<S>("name", &S::m_endpoint, allowedName,
+                    "The endpoint, as the configuration names it")
+             .required(),
+         bindKey<S>("url", &S::m_endpointUrl, "http://IP-NUMBER:PORT without a slash at the end",
+                    "Where the endpoint answers on this VM")
+             .required(),
+         bindText<S>("probe_path", &S::m_probePath, isPath, "a path that starts with '/'",
+                     "The path that tells whether the endpoint is up"),
+         bindText<S>("boot_id_header", &S::m_bootIdHeader, isHeaderName,
+                     "the name of a header field",
+                     "The response header whose change means that the endpoint restarted")}};
+}
+
+const SectionBindings<AgentSettings> &sectionBindings(const AgentSettings *)
+{
+    using S = AgentSettings;
+    static const SectionBindings<S> bindings = [] {
+        SectionBinding<S> listen = listenSection<S>();
+        listen.m_keys.push_back(
+            bindKey<S>("link", &S::m_link, allowedAddress, "Requests from entries").required());
+        return SectionBindings<S>{processSection<S>(),  listen,
+                                  platformSection<S>(), endpointSection(),
+                                  limitsSection<S>(),   seedsSection<S>()};
+    }();
+    return bindings;
+}
+
+template <typename Settings>
+std::string sectionTypes(const SectionBindings<Settings> &bindings)
+{
+    std::string types;
+    for (const auto &binding : bindings)
+        types += (types.empty() ? "[" : ", [") + binding.m_type + "]";
+    return types;
+}
+
+template <typename Settings>
+void readSection(const IniSection &section, const std::string &fileName, Settings &settings,
+                 Diagnostics &diagnostics)
+{
+    const auto &bindings = sectionBindings(&settings);
+    const auto found = std::find_if(bindings.begin(), bindings.end(), [&](const auto &binding) {
+        return binding.m_type == section.m_type && section.m_name.empty();
+    });
+    if (found == bindings.end()) {
+        diagnostics.push_back({fileName, section.m_line, section.heading(), "", "unknown section",
+                               sectionTypes(bindings)});
+        return;
+    }
+    readKeys(section, fileName, found->m_keys, settings, diagnostics);
+}
+
+template <typename Settings>
+std::optional<Settings> parseSettings(const std::string &text, const std::string &fileName,
+                                      Diagnostics &diagnostics)
+{
+    const std::size_t earlier = diagnostics.size();
+    const IniDocument document = readIniDocument(text, fileName, diagnostics);
+    Settings settings;
+    for (const IniSection &section : document.m_sections)
+        readSection(section, fileName, settings, diagnostics);
+    for (const auto &binding : sectionBindings(&settings)) {
+        const bool isGiven =
+            std::any_of(document.m_sections.begin(), document.m_sections.end(),
+                        [&](const auto &section) { return section.m_type == binding.m_type; });
+        if (binding.m_required && !isGiven)
+            diagnostics.push_back({fileName, 0, binding.m_type, "", "the section is missing",
+                                   "[" + binding.m_type + "]"});
+    }
+    if (diagnostics.size() != earlier)
+        return std::nullopt;
+    return settings;
+}
+
+template <typename Settings>
+std::string printSections(const Settings &settings)
+{
+    std::string text;
+    for (const auto &binding : sectionBindings(&settings)) {
+        text += (text.empty() ? "[" : "\n[") + binding.m_type + "]\n";
+        text += printKeys(binding.m_keys, settings);
+    }
+    return text;
+}
+
+template <typename Settings>
+std::vector<KeyDescription> describeSections()
+{
+    std::vector<KeyDescription> descriptions;
+    for (const auto &binding : sectionBindings(static_cast<const Settings *>(nullptr)))
+        describeKeys(binding.m_type, binding.m_keys, descriptions);
+    return descriptions;
+}
+
+} // namespace
+
+std::optional<EntrySettings>
+parseEntrySettings(const std::string &text, const std::string &fileName, Diagnostics &diagnostics)
+{
+    return parseSettings<EntrySettings>(text, fileName, diagnostics);
+}
+
+std::optional<AgentSettings>
+parseAgentSettings(const std::string &text, const std::string &fileName, Diagnostics &diagnostics)
+{
+    return parseSettings<AgentSettings>(text, fileName, diagnostics);
+}
+
+std::string printSettings(const EntrySettings &settings)
+{
+    return printSections(settings);
+}
+
+std::string printSettings(const AgentSettings &settings)
+{
+    return printSections(settings);
+}
+
+std::vector<KeyDescription> entrySettingsKeys()
+{
+    return describeSections<EntrySettings>();
+}
+
+std::vector<KeyDescription> agentSettingsKeys()
+{
+    return describeSections<AgentSettings>();
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/settings/valuetext.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <burdockhead/base/name.h>
+#include <burdockhead/base/socketaddress.h>
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/observe/loglevel.h>
+#include <burdockhead/settings/weburl.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+namespace burdockhead {
+
+// What is said to be allowed for the values that the functions below read.
+extern const char *const allowedName;
+extern const char *const allowedNameList;
+extern const char *const allowedAddress;
+extern const char *const allowedAddressList;
+
+// True for 1 to 63 letters, digits, '.', '_' and '-', starting with a letter or digit.
+bool isValidName(const std::string &text);
+
+// Splits at commas and strips blanks; empty items stay, an empty text gives no item.
+std::vector<std::string> splitList(const std::string &text);
+
+// Joins items with ", ".
+std::string joinList(const std::vector<std::string> &items);
+
+// A whole decimal number within bounds; none on any other text.
+std::optional<std::uint64_t> readNumber(const std::string &text, std::uint64_t low,
+                                        std::uint64_t high);
+
+// Read functions return false on a bad value; print functions give text that reads back.
+bool readValue(const std::string &text, SocketAddress &value);
+bool readValue(const std::string &text, std::vector<SocketAddress> &value);
+bool readValue(const std::string &text, WebUrl &value);
+bool readValue(const std::string &text, LogLevel &value);
+std::string printValue(const SocketAddress &value);
+std::string printValue(const std::vector<SocketAddress> &value);
+std::string printValue(const WebUrl &value);
+std::string printValue(LogLevel value);
+std::string printValue(Milliseconds value);
+
+template <typename Number>
+requires std::is_integral_v<Number> std::string printValue(Number value)
+{
+    return std::to_string(value);
+}
+
+template <typename Tag>
+bool readValue(const std::string &text, Name<Tag> &value)
+{
+    value = Name<Tag>(text);
+    return isValidName(text);
+}
+
+template <typename Tag>
+std::string printValue(const Name<Tag> &value)
+{
+    return value.text();
+}
+
+// A list of names; an empty item, a bad or a repeated name makes it bad.
+template <typename Tag>
+bool readValue(const std::string &text, std::vector<Name<Tag>> &value)
+{
+    value.clear();
+    for (const std::string &item : splitList(text)) {
+        const Name<Tag> name(item);
+        for (const Name<Tag> &earlier : value) {
+            if (earlier == name)
+                return false;
+        }
+        if (!isValidName(item))
+            return false;
+        value.push_back(name);
+    }
+    return true;
+}
+
+template <typename Tag>
+std::string printValue(const std::vector<Name<Tag>> &value)
+{
+    std::vector<std::string> items;
+    items.reserve(value.size());
+    for (const Name<Tag> &name : value)
+        items.push_back(name.text());
+    return joinList(items);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/internal/settings/test_settingstext.cpp
@@ -0,0 +1,72 @@
+#include <burdockhead/settings/settingstext.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockhead;
+
+namespace {
+
+const std::string entryText = "[process]\nname = e1\ndata_centre = a\n"
+                              "[listen]\ncallers = 127.0.0.1:80\noperators = 127.0.0.1:81\n"
+                              "control = 127.0.0.1:82\n"
+                              "[platform]\nurl = http://127.0.0.1:83\n";
+
+const std::string agentText = "[process]\nname = g1\ndata_centre = a\nlog_level = debug\n"
+                              "[listen]\nlink = 127.0.0.1:80\noperators = 127.0.0.1:81\n"
+                              "control = 127.0.0.1:82\n"
+                              "[platform]\nurl = http://127.0.0.1:83/api\n"
+                              "[endpoint]\nname = r0\nurl = http://127.0.0.1:84\n"
+                              "[limits]\nmax_body_bytes = 100\ndrain_ms = 5\n"
+                              "[seeds]\ncontrol = 127.0.0.1:1, 127.0.0.1:2\n";
+
+// The first diagnostic of an agent's settings.
+std::string agentProblem(const std::string &text)
+{
+    Diagnostics diagnostics;
+    BOOST_TEST(!parseAgentSettings(text, "g.ini", diagnostics).has_value());
+    return diagnostics.empty() ? "" : diagnostics.front().toString();
+}
+
+std::string replaced(std::string text, const std::string &part, const std::string &other)
+{
+    return text.replace(text.find(part), part.size(), other);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsText)
+
+BOOST_AUTO_TEST_CASE(settings_read_back_from_their_print)
+{
+    Diagnostics diagnostics;
+    const auto entry = parseEntrySettings(entryText, "e.ini", diagnostics);
+    BOOST_TEST(toString(diagnostics) == "");
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST(entry->m_callers.m_port == 80);
+    BOOST_TEST((parseEntrySettings(printSettings(*entry), "e.ini", diagnostics) == entry));
+    const auto agent = parseAgentSettings(agentText, "g.ini", diagnostics);
+    BOOST_TEST(toString(diagnostics) == "");
+    BOOST_REQUIRE(agent.has_value());
+    BOOST_TEST((agent->m_limits.m_drain == Milliseconds(5)));
+    BOOST_TEST(agent->m_seeds.size() == 2U);
+    BOOST_TEST((parseAgentSettings(printSettings(*agent), "g.ini", diagnostics) == agent));
+}
+
+BOOST_AUTO_TEST_CASE(bad_settings_are_refused_with_line_and_key)
+{
+    BOOST_TEST(agentProblem(replaced(agentText, "127.0.0.1:80", "host:80"))
+               == "g.ini:6: section [listen], key link: bad value 'host:80'; allowed: HOST:PORT "
+                  "with an IP number and a port from 1 to 65535");
+    BOOST_TEST(agentProblem(replaced(agentText, "link", "callers"))
+                   .starts_with("g.ini:5: section [listen], key link: the key is missing"));
+    BOOST_TEST(agentProblem(replaced(agentText, "debug", "loud"))
+                   .starts_with("g.ini:4: section [process], key log_level: bad value"));
+    BOOST_TEST(agentProblem(replaced(agentText, "= 100", "= -1"))
+                   .starts_with("g.ini:15: section [limits], key max_body_bytes: bad value"));
+    BOOST_TEST(agentProblem(replaced(agentText, "[seeds]", "[sedes]"))
+                   .starts_with("g.ini:17: section [sedes]: unknown section; allowed: [process]"));
+    BOOST_TEST(agentProblem("[process]\nname = a\ndata_centre = b\n")
+               == "g.ini:0: section [listen]: the section is missing; allowed: [listen]");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
