Add the agent's admission controller and request ledger

Cause: the agent needs its decisions behind stable headers: what runs, waits and is refused at its endpoint, and which requests it has already handed on.

Ruled out: one priority order over all workspaces (a flood of one workspace at a high priority starves the others); a lease for warmth (a clock decides, and a paused agent sends on an old one). Instead an unnoticed cold turn is bounded by the count of requests not yet followed by a word of the endpoint.

--- /dev/null
+++ b/src/burdockhead/admission/warmthwindow.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <burdockhead/base/requestid.h>
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+namespace burdockhead {
+
+// Bounds what an endpoint that has turned cold unnoticed can receive. A request counts as
+// unconfirmed from its start until a word of the endpoint that is certain to be later than
+// the request's arrival; any such word after a turn would have been a sign of it. So an
+// unnoticed turn has at most the unconfirmed requests behind it, and there are never more
+// of these than the endpoint carries cold. No clock is involved.
+class WarmthWindow
+{
+public:
+    // True while one more unconfirmed request is allowed.
+    bool mayStart(std::uint32_t coldLimit) const { return m_unconfirmed.size() < coldLimit; }
+
+    // The request is handed to the endpoint.
+    void started(const RequestId &id);
+
+    // The request is known to have ended, or its own response's head has come.
+    void confirmed(const RequestId &id);
+
+    // A probe is sent behind everything that was started; gives its number.
+    std::uint64_t probeAsked();
+
+    // The probe's answer came: all that was started before it is confirmed. False for an
+    // answer to an earlier probe, which confirms nothing.
+    bool probeAnswered(std::uint64_t probe);
+
+    // The present probe is given up.
+    void probeFailed() { m_probeOutstanding = false; }
+
+    // True from a probe's sending to its answer or failure.
+    bool probeOutstanding() const { return m_probeOutstanding; }
+
+    // The number of the latest probe.
+    std::uint64_t latestProbe() const { return m_latestProbe; }
+
+private:
+    std::unordered_map<RequestId, std::uint64_t> m_unconfirmed; // With the latest probe before.
+    std::uint64_t m_latestProbe = 0;
+    bool m_probeOutstanding = false;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/idempotency/requestledger.cpp
@@ -0,0 +1,225 @@
+#include <burdockhead/idempotency/requestledger.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace burdockhead {
+
+namespace {
+
+// What the tables cost beside the texts, in bytes.
+constexpr std::size_t entryOverhead = 400;
+constexpr std::size_t attemptOverhead = 150;
+constexpr std::size_t tombstoneOverhead = 150;
+
+// Separates keys of callers from keyless attempts and from tickets.
+constexpr std::string_view keyPrefix = "k:";
+constexpr std::string_view attemptPrefix = "a:";
+constexpr std::string_view ticketPrefix = "t:";
+
+} // namespace
+
+RequestLedger::RequestLedger(Incarnation incarnation, const LedgerLimits &limits)
+    : m_incarnation(incarnation)
+    , m_limits(limits)
+    , m_attemptFloors(limits.m_issuers)
+    , m_ticketFloors(limits.m_issuers)
+{}
+
+LedgerDecision RequestLedger::dispatch(const LedgerRequest &request, TimePoint now)
+{
+    expire(now);
+    if (request.m_boundTo && *request.m_boundTo != m_incarnation)
+        return {LedgerVerdict::StaleIncarnation, {}};
+    if (request.m_ticket && request.m_ticket->m_incarnation != m_incarnation)
+        return {LedgerVerdict::StaleIncarnation, {}};
+    if (m_tombstones.contains(request.m_attempt))
+        return {LedgerVerdict::RefusedTombstoned, {}};
+    const std::string key = entryKey(request);
+    const auto found = m_entries.find(key);
+    if (found != m_entries.end())
+        return knownEntry(found->second, request);
+    return newEntry(key, request);
+}
+
+void RequestLedger::completed(const AttemptId &attempt, const StoredAnswer &answer, TimePoint now)
+{
+    const auto found = find(attempt);
+    if (found == m_entries.end() || found->second.m_state == State::Completed)
+        return;
+    Entry &entry = found->second;
+    const std::size_t size = answer.m_body.size() + answer.m_contentType.size();
+    if (m_bytes + size > m_limits.m_bytes) {
+        settle(found, State::Unknown, now);
+        return;
+    }
+    entry.m_answer = answer;
+    entry.m_bytes += size;
+    m_bytes += size;
+    settle(found, State::Completed, now);
+}
+
+void RequestLedger::failedUnknown(const AttemptId &attempt, TimePoint now)
+{
+    const auto found = find(attempt);
+    if (found != m_entries.end() && found->second.m_state == State::Running)
+        settle(found, State::Unknown, now);
+}
+
+void RequestLedger::neverStarted(const AttemptId &attempt, TimePoint now)
+{
+    const auto found = find(attempt);
+    if (found == m_entries.end() || found->second.m_state != State::Running)
+        return;
+    const std::vector<AttemptId> attempts = found->second.m_attempts;
+    forget(found->first);
+    for (const AttemptId &refused : attempts)
+        bury(refused, now);
+}
+
+RunState RequestLedger::tombstone(const AttemptId &attempt, TimePoint now)
+{
+    const auto found = find(attempt);
+    if (found != m_entries.end())
+        return found->second.m_state == State::Completed ? RunState::Ran : RunState::Unknown;
+    if (m_tombstones.contains(attempt))
+        return RunState::NotRun;
+    if (m_attemptFloors.mayBeForgotten(attempt.m_issuer, attempt.m_sequence))
+        return RunState::Unknown;
+    return bury(attempt, now) ? RunState::NotRun : RunState::Unknown;
+}
+
+void RequestLedger::expire(TimePoint now)
+{
+    while (!m_entryDeadlines.empty() && m_entryDeadlines.begin()->first < now) {
+        const std::string key = m_entryDeadlines.begin()->second;
+        const Entry &entry = m_entries.at(key);
+        for (const AttemptId &attempt : entry.m_attempts)
+            m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+        if (entry.m_ticket)
+            m_ticketFloors.raise(entry.m_ticket->m_issuer, entry.m_ticket->m_number);
+        forget(key);
+    }
+    while (!m_tombstoneDeadlines.empty() && m_tombstoneDeadlines.begin()->first < now) {
+        const AttemptId attempt = m_tombstoneDeadlines.begin()->second;
+        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+        m_tombstoneDeadlines.erase(m_tombstoneDeadlines.begin());
+        m_tombstones.erase(attempt);
+        m_bytes -= tombstoneOverhead;
+    }
+}
+
+std::string RequestLedger::entryKey(const LedgerRequest &request)
+{
+    if (request.m_ticket)
+        return fmt::format("{}{:x}.{:x}", ticketPrefix, request.m_ticket->m_issuer,
+                           request.m_ticket->m_number);
+    if (!request.m_key.empty())
+        return fmt::format("{}{}", keyPrefix, request.m_key);
+    return fmt::format("{}{:x}.{:x}", attemptPrefix, request.m_attempt.m_issuer,
+                       request.m_attempt.m_sequence);
+}
+
+LedgerDecision RequestLedger::knownEntry(Entry &entry, const LedgerRequest &request)
+{
+    if (entry.m_fingerprint != request.m_fingerprint)
+        return {LedgerVerdict::KeyReusedForOtherRequest, {}};
+    attach(entry, request.m_attempt);
+    switch (entry.m_state) {
+    case State::Running:
+        return {LedgerVerdict::AlreadyRunning, {}};
+    case State::Completed:
+        return {LedgerVerdict::Replay, entry.m_answer};
+    case State::Unknown:
+        return {LedgerVerdict::OutcomeUnknown, {}};
+    }
+    return {LedgerVerdict::OutcomeUnknown, {}};
+}
+
+LedgerDecision RequestLedger::newEntry(const std::string &key, const LedgerRequest &request)
+{
+    const AttemptId &attempt = request.m_attempt;
+    if (m_attemptFloors.mayBeForgotten(attempt.m_issuer, attempt.m_sequence))
+        return {LedgerVerdict::OutcomeUnknown, {}};
+    if (request.m_ticket
+        && m_ticketFloors.mayBeForgotten(request.m_ticket->m_issuer, request.m_ticket->m_number))
+        return {LedgerVerdict::OutcomeUnknown, {}};
+    if (!m_attemptFloors.hasRoomFor(attempt.m_issuer)
+        || (request.m_ticket && !m_ticketFloors.hasRoomFor(request.m_ticket->m_issuer)))
+        return {LedgerVerdict::Full, {}};
+    const std::size_t size = entryOverhead + 2 * key.size();
+    if (m_bytes + size + attemptOverhead > m_limits.m_bytes)
+        return {LedgerVerdict::Full, {}};
+    Entry &entry = m_entries[key];
+    entry.m_fingerprint = request.m_fingerprint;
+    entry.m_ticket = request.m_ticket;
+    entry.m_bytes = size;
+    m_bytes += size;
+    attach(entry, attempt);
+    m_byAttempt[attempt] = key;
+    return {LedgerVerdict::Run, {}};
+}
+
+// Counts the attempt as one of the entry's. Without room to remember it, its number counts as
+// forgotten at once, which keeps its late copies from running just as well.
+void RequestLedger::attach(Entry &entry, const AttemptId &attempt)
+{
+    if (std::ranges::find(entry.m_attempts, attempt) != entry.m_attempts.end())
+        return;
+    if (m_bytes + attemptOverhead > m_limits.m_bytes) {
+        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+        return;
+    }
+    if (!entry.m_attempts.empty())
+        m_byAttempt[attempt] = m_byAttempt.at(entry.m_attempts.front());
+    entry.m_attempts.push_back(attempt);
+    entry.m_bytes += attemptOverhead;
+    m_bytes += attemptOverhead;
+}
+
+RequestLedger::Entries::iterator RequestLedger::find(const AttemptId &attempt)
+{
+    const auto key = m_byAttempt.find(attempt);
+    return key == m_byAttempt.end() ? m_entries.end() : m_entries.find(key->second);
+}
+
+void RequestLedger::settle(Entries::iterator entry, State state, TimePoint now)
+{
+    const bool keyless = entry->first.starts_with(attemptPrefix);
+    m_entryDeadlines.erase({entry->second.m_keptUntil, entry->first});
+    entry->second.m_state = state;
+    entry->second.m_keptUntil =
+        now + (keyless ? m_limits.m_attemptRetention : m_limits.m_keyRetention);
+    m_entryDeadlines.insert({entry->second.m_keptUntil, entry->first});
+}
+
+// Makes a tombstone, or counts the attempt as forgotten when there is no room. False when
+// that can't be remembered either.
+bool RequestLedger::bury(const AttemptId &attempt, TimePoint now)
+{
+    if (m_bytes + tombstoneOverhead > m_limits.m_bytes) {
+        const bool remembered = m_attemptFloors.hasRoomFor(attempt.m_issuer);
+        if (remembered)
+            m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+        return remembered;
+    }
+    const TimePoint keptUntil = now + m_limits.m_attemptRetention;
+    if (!m_tombstones.emplace(attempt, keptUntil).second)
+        return true;
+    m_tombstoneDeadlines.insert({keptUntil, attempt});
+    m_bytes += tombstoneOverhead;
+    return true;
+}
+
+void RequestLedger::forget(const std::string &key)
+{
+    const auto found = m_entries.find(key);
+    m_entryDeadlines.erase({found->second.m_keptUntil, key});
+    for (const AttemptId &attempt : found->second.m_attempts)
+        m_byAttempt.erase(attempt);
+    m_bytes -= found->second.m_bytes;
+    m_entries.erase(found);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/idempotency/storedanswer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace burdockhead {
+
+// An endpoint's answer as it is kept for repeating it.
+struct StoredAnswer
+{
+    int m_status = 200;
+    std::string m_contentType;
+    std::string m_body;
+
+    friend bool operator==(const StoredAnswer &, const StoredAnswer &) = default;
+};
+
+} // namespace burdockhead
