--- /dev/null
+++ b/src/burdockhead/agent/agentcounters.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace burdockhead {
+
+// What an agent has done since its start.
+struct AgentCounters
+{
+    std::uint64_t m_dispatches = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_completed = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_failed = 0;
+    std::uint64_t m_cancelled = 0;
+    std::uint64_t m_replayed = 0;
+    std::uint64_t m_coldSigns = 0;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/agent/endpointcall.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <burdockhead/base/timepoint.h>
+
+#include <string>
+
+namespace burdockhead {
+
+// A request as the agent hands it to its endpoint.
+struct EndpointCall
+{
+    std::string m_method;
+    std::string m_path;
+    std::string m_contentType;
+    std::string m_body;
+    std::string m_key; // Passed on as Idempotency-Key; empty for none.
+    TimePoint m_deadline;
+    bool m_repeatable = true;
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/entry/flowparts.h
+++ b/src/burdockhead/entry/flowparts.h
@@ -23,7 +23,8 @@
     Guarded<ReplicaDirectory> &m_directory;
     KeyBinder &m_keys;
     FlowObserver &m_observer;
-    std::uint64_t m_sender = 0; // The entry's incarnation, part of every attempt's id.
+    std::uint64_t m_issuer = 0; // Of this entry's attempts.
+    std::atomic<std::uint64_t> m_lastSequence = 0;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/entry/requestflow.cpp
+++ b/src/burdockhead/entry/requestflow.cpp
@@ -122,7 +122,8 @@
 {
     const TimePoint now = Clock::now();
     Attempt attempt;
-    attempt.m_id = {facts().m_id, m_parts.m_sender, ++m_attemptCount};
+    attempt.m_id = {m_parts.m_issuer, ++m_parts.m_lastSequence};
+    ++m_attemptCount;
     attempt.m_target = target;
     attempt.m_lastHeard = now;
     attempt.m_isHedge = isHedge;
--- a/src/burdockhead/transport/cancelframe.h
+++ b/src/burdockhead/transport/cancelframe.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <burdockhead/transport/attemptid.h>
+#include <burdockhead/idempotency/attemptid.h>
 
 namespace burdockhead {
 
--- a/src/burdockhead/transport/dispatchframe.h
+++ b/src/burdockhead/transport/dispatchframe.h
@@ -2,7 +2,7 @@
 
 #include <burdockhead/base/incarnation.h>
 #include <burdockhead/routing/requestfacts.h>
-#include <burdockhead/transport/attemptid.h>
+#include <burdockhead/idempotency/attemptid.h>
 
 #include <string>
 
--- a/src/burdockhead/transport/endframe.h
+++ b/src/burdockhead/transport/endframe.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <burdockhead/admission/loadreport.h>
-#include <burdockhead/transport/attemptid.h>
+#include <burdockhead/idempotency/attemptid.h>
 
 namespace burdockhead {
 
--- a/src/burdockhead/transport/failureframe.h
+++ b/src/burdockhead/transport/failureframe.h
@@ -4,7 +4,7 @@
 #include <burdockhead/base/errorkind.h>
 #include <burdockhead/base/runstate.h>
 #include <burdockhead/base/timepoint.h>
-#include <burdockhead/transport/attemptid.h>
+#include <burdockhead/idempotency/attemptid.h>
 
 #include <string>
 
--- a/src/burdockhead/transport/frame.cpp
+++ b/src/burdockhead/transport/frame.cpp
@@ -25,17 +25,14 @@
 
 void write(MessageWriter &writer, const AttemptId &id)
 {
-    writer.number(id.m_request.m_high).number(id.m_request.m_low);
-    writer.number(id.m_sender).number(id.m_number);
+    writer.number(id.m_issuer).number(id.m_sequence);
 }
 
 AttemptId readAttempt(MessageReader &reader)
 {
     AttemptId id;
-    id.m_request.m_high = reader.number();
-    id.m_request.m_low = reader.number();
-    id.m_sender = reader.number();
-    id.m_number = static_cast<std::uint32_t>(reader.number());
+    id.m_issuer = reader.number();
+    id.m_sequence = reader.number();
     return id;
 }
 
--- a/tests/internal/transport/test_frame.cpp
+++ b/tests/internal/transport/test_frame.cpp
@@ -11,7 +11,7 @@
 rc::Gen<AttemptId> attempts()
 {
     return rc::gen::map(rc::gen::arbitrary<std::uint32_t>(), [](std::uint32_t number) {
-        return AttemptId{{number * 7ULL, 9}, 11, number};
+        return AttemptId{11, number};
     });
 }
 
@@ -21,7 +21,7 @@
     frame.m_attempt = attempt;
     frame.m_boundTo = {42};
     frame.m_configurationVersion = 7;
-    frame.m_facts.m_id = attempt.m_request;
+    frame.m_facts.m_id = {1, 2};
     frame.m_facts.m_workspace = WorkspaceName("library");
     frame.m_facts.m_kind = KindName("digest");
     frame.m_facts.m_model = ModelName("shelf-8b");
