Remember ended replicas, so that late words on them stay late

Cause: a replica that was removed from the configuration after its end was forgotten at once. When the endpoint was configured again, a late announcement of an earlier incarnation passed for news and was routed to.

Ruled out: keeping ended replicas for a time, which needs a clock in applyConfiguration and a bound on clock differences of gossip. Now up to 4096 ended replicas are kept and dropped together when there are more.

--- a/src/burdockhead/routing/replicatableconfiguration.cpp
+++ b/src/burdockhead/routing/replicatableconfiguration.cpp
@@ -5,6 +5,14 @@
 
 namespace burdockhead {
 
+namespace {
+
+// Ended replicas that are remembered, so that a late word on an earlier incarnation of one
+// is known for what it is when the endpoint is configured again.
+constexpr std::ptrdiff_t maxEndedReplicas = 4096;
+
+} // namespace
+
 bool ReplicaTable::applyConfiguration(const ConfigurationPointer &configuration)
 {
     if (!configuration
@@ -22,8 +30,8 @@
     return true;
 }
 
-// Replicas that are neither configured nor running are forgotten, so that the table does
-// not grow with every endpoint there ever was.
+// Replicas that are neither configured nor running are forgotten when there are many, so
+// that the table does not grow with every endpoint there ever was.
 void ReplicaTable::dropForgotten(const Configuration &configuration)
 {
     const auto forgotten = [&configuration](const Replica &replica) {
@@ -31,10 +39,9 @@
             replica.m_announcement && replica.m_announcement->m_state != ReplicaState::Dead;
         return !running && configuration.endpoint(replica.m_name) == nullptr;
     };
-    const auto rest = std::remove_if(m_replicas.begin(), m_replicas.end(), forgotten);
-    if (rest == m_replicas.end())
+    if (std::count_if(m_replicas.begin(), m_replicas.end(), forgotten) <= maxEndedReplicas)
         return;
-    m_replicas.erase(rest, m_replicas.end());
+    std::erase_if(m_replicas, forgotten);
     m_prefixDirectory.clear();
     m_byName.clear();
     for (ReplicaIndex index = 0; index < m_replicas.size(); ++index)
