Add membership, configuration and the service that carries them

MembershipNode takes all decisions of a process without I/O: gossip with incarnation numbers and suspicion, the configuration in force, and whether the process is current. MembershipService carries its messages over nng, watches the platform from two entries a data centre, and offers control calls to other parts. A change is accepted once half of the data centres hold it; a process without the platform stays current only on fresh word from a majority of them.

--- a/src/burdockhead/configuration/applyresult.h
+++ b/src/burdockhead/configuration/applyresult.h
@@ -7,11 +7,11 @@
 
 // How a change of the configuration ended.
 enum class ApplyOutcome {
-    Accepted,            // In force: a majority of data centres has it.
+    Accepted,            // In force: at least half of the data centres hold it.
     Conflict,            // Another version is in the platform; nothing was changed.
     Invalid,             // The text is not a valid configuration; nothing was changed.
     Unknown,             // It may be in force now or later; ask again with the same nonce.
-    PlatformUnavailable, // The platform or a majority of data centres was out of reach before
+    PlatformUnavailable, // The platform or too many data centres were out of reach before
                          // anything was written; nothing was changed.
 };
 
--- a/src/burdockhead/membership/membershipservice.h
+++ b/src/burdockhead/membership/membershipservice.h
@@ -78,7 +78,7 @@
                                     Failure &failure);
 
     // Replaces the configuration if its version is still baseVersion (0: there is none yet)
-    // and waits until a majority of data centres has the new one. Entries only; blocks until
+    // and waits until a quorum of data centres holds the new one. Entries only; blocks until
     // the deadline at most. The nonce is unique to this change.
     ApplyResult apply(std::uint64_t baseVersion, const std::string &text, const std::string &nonce,
                       TimePoint deadline);
--- /dev/null
+++ b/src/burdockhead/membership/membershiptable.cpp
@@ -0,0 +1,201 @@
+#include <burdockhead/membership/membershiptable.h>
+
+#include <algorithm>
+#include <bit>
+#include <xxhash.h>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::size_t rumourFactor = 3;
+
+} // namespace
+
+MembershipTable::MembershipTable(MemberRecord self, MembershipTimes times)
+    : m_self(std::move(self))
+    , m_times(times)
+{
+    storeSelf();
+}
+
+std::size_t MembershipTable::bucketOf(const ProcessName &name)
+{
+    return XXH64(name.text().data(), name.text().size(), 1) % bucketCount;
+}
+
+// Adds a record to the sums or takes it out; adding twice is the same as taking out.
+void MembershipTable::count(const MemberRecord &record, bool add)
+{
+    if (record.m_health == MemberHealth::Dead)
+        return;
+    m_hashes[bucketOf(record.m_name)] ^= static_cast<std::uint32_t>(record.hash());
+    m_liveCount = add ? m_liveCount + 1 : m_liveCount - 1;
+}
+
+void MembershipTable::store(const MemberRecord &record, TimePoint now)
+{
+    Member &member = m_members[record.m_name];
+    if (!member.m_record.m_name.empty())
+        count(member.m_record, false);
+    member.m_record = record;
+    count(record, true);
+    member.m_deadline.reset();
+    if (record.m_health == MemberHealth::Suspect)
+        member.m_deadline = now + m_times.m_suspicion;
+    else if (record.m_health == MemberHealth::Dead)
+        member.m_deadline = now + m_times.m_memory;
+    m_rumours[record.m_name] = 0;
+    m_changes[record.m_name] = record;
+    if (record.m_role == VmRole::Entry)
+        ++m_entriesGeneration;
+}
+
+void MembershipTable::storeSelf()
+{
+    store(m_self, TimePoint());
+}
+
+void MembershipTable::setLeaving(bool leaving)
+{
+    if (m_self.m_leaving == leaving)
+        return;
+    m_self.m_leaving = leaving;
+    ++m_self.m_revision;
+    storeSelf();
+}
+
+bool MembershipTable::merge(const MemberRecord &record, TimePoint now)
+{
+    if (record.m_name.empty())
+        return false;
+    if (record.m_name == m_self.m_name) {
+        if (record.m_incarnation != m_self.m_incarnation || !record.supersedes(m_self))
+            return false;
+        m_self.m_revision = record.m_revision + 1;
+        storeSelf();
+        return true;
+    }
+    const auto member = m_members.find(record.m_name);
+    if (member != m_members.end() && !record.supersedes(member->second.m_record))
+        return false;
+    store(record, now);
+    return true;
+}
+
+void MembershipTable::suspect(const ProcessName &name, TimePoint now)
+{
+    const MemberRecord *known = find(name);
+    if (known == nullptr || known->m_health != MemberHealth::Alive || name == m_self.m_name)
+        return;
+    MemberRecord record = *known;
+    record.m_health = MemberHealth::Suspect;
+    store(record, now);
+}
+
+void MembershipTable::tick(TimePoint now)
+{
+    std::vector<MemberRecord> dead;
+    for (auto member = m_members.begin(); member != m_members.end();) {
+        const bool due = member->second.m_deadline && *member->second.m_deadline <= now;
+        if (due && member->second.m_record.m_health == MemberHealth::Dead) {
+            m_rumours.erase(member->first);
+            member = m_members.erase(member);
+            continue;
+        }
+        if (due)
+            dead.push_back(member->second.m_record);
+        ++member;
+    }
+    for (MemberRecord &record : dead) {
+        record.m_health = MemberHealth::Dead;
+        store(record, now);
+    }
+}
+
+const MemberRecord *MembershipTable::find(const ProcessName &name) const
+{
+    const auto member = m_members.find(name);
+    return member == m_members.end() ? nullptr : &member->second.m_record;
+}
+
+std::vector<const MemberRecord *> MembershipTable::members(VmRole role) const
+{
+    std::vector<const MemberRecord *> found;
+    for (const auto &[name, member] : m_members) {
+        if (member.m_record.m_role == role && member.m_record.m_health != MemberHealth::Dead)
+            found.push_back(&member.m_record);
+    }
+    return found;
+}
+
+std::vector<const MemberRecord *> MembershipTable::members(VmRole role,
+                                                           const DataCentreName &dataCentre) const
+{
+    std::vector<const MemberRecord *> found = members(role);
+    std::erase_if(found, [&](const auto *record) { return record->m_dataCentre != dataCentre; });
+    return found;
+}
+
+std::vector<const MemberRecord *> MembershipTable::bucket(std::size_t index) const
+{
+    std::vector<const MemberRecord *> found;
+    for (const auto &[name, member] : m_members) {
+        if (bucketOf(name) == index)
+            found.push_back(&member.m_record);
+    }
+    return found;
+}
+
+std::vector<const MemberRecord *> MembershipTable::deadEntries() const
+{
+    std::vector<const MemberRecord *> found;
+    for (const auto &[name, member] : m_members) {
+        if (member.m_record.m_role == VmRole::Entry
+            && member.m_record.m_health == MemberHealth::Dead)
+            found.push_back(&member.m_record);
+    }
+    return found;
+}
+
+std::vector<MemberRecord> MembershipTable::takeRumours(std::size_t limit)
+{
+    struct Candidate
+    {
+        std::size_t m_passed;
+        ProcessName m_name;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto &[name, passed] : m_rumours)
+        candidates.push_back({passed, name});
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [](const Candidate &left, const Candidate &right) {
+                         return left.m_passed < right.m_passed;
+                     });
+    const std::size_t times = rumourFactor * std::bit_width(m_members.size() + 1);
+    std::vector<MemberRecord> taken;
+    for (std::size_t index = 0; index < candidates.size() && index < limit; ++index) {
+        const ProcessName &name = candidates[index].m_name;
+        if (const MemberRecord *record = find(name))
+            taken.push_back(*record);
+        if (++m_rumours[name] >= times)
+            m_rumours.erase(name);
+    }
+    return taken;
+}
+
+std::vector<MemberRecord> MembershipTable::takeChanges()
+{
+    std::vector<MemberRecord> taken;
+    for (auto &[name, record] : m_changes)
+        taken.push_back(std::move(record));
+    m_changes.clear();
+    return taken;
+}
+
+std::uint64_t MembershipTable::tableHash() const
+{
+    return XXH64(m_hashes.data(), sizeof(m_hashes), 0);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/internal/membership/test_membershipservice.cpp
@@ -0,0 +1,159 @@
+#include "testconfiguration.h"
+#include <burdockhead/membership/membershipservice.h>
+#include <burdockhead/platform/httpobjectapi.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <freeport.h>
+#include <platformstandin.h>
+#include <thread>
+
+using namespace burdockhead;
+
+namespace {
+
+constexpr Seconds patience(30);
+
+// Waits for a condition that must come true in the end; how long it takes is not tested.
+template <typename Condition>
+bool comesTrue(Condition condition)
+{
+    const TimePoint deadline = Clock::now() + patience;
+    while (Clock::now() < deadline) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(Milliseconds(10));
+    }
+    return false;
+}
+
+// Three data centres with two entries each, one agent, and a platform.
+struct Deployment
+{
+    SocketAddress m_platformAddress = freeLoopbackAddress();
+    PlatformStandIn m_platform{m_platformAddress};
+    std::shared_ptr<ObjectApi> m_api = std::make_shared<HttpObjectApi>(
+        std::vector<std::string>{"http://" + m_platformAddress.toString()});
+    std::vector<Vm> m_vms;
+    std::vector<std::unique_ptr<MembershipService>> m_entries;
+    std::uint64_t m_incarnation = 1;
+
+    Deployment()
+    {
+        BOOST_REQUIRE(m_platform.start());
+        const PlatformObject object{"configuration", "current", 0, "a b c"};
+        BOOST_REQUIRE(
+            (m_api->write(object, Clock::now() + Seconds(5)).m_result == WriteResult::Applied));
+        for (const char *dataCentre : {"a", "b", "c"}) {
+            for (const char *number : {"1", "2"})
+                m_vms.push_back({ProcessName(std::string(dataCentre) + number), VmRole::Entry,
+                                 DataCentreName(dataCentre), freeLoopbackAddress(), false});
+        }
+        for (const Vm &vm : m_vms)
+            m_entries.push_back(startEntry(vm));
+    }
+
+    MembershipOptions optionsFor(const Vm &vm)
+    {
+        MembershipOptions options;
+        options.m_name = vm.m_name;
+        options.m_role = vm.m_role;
+        options.m_dataCentre = vm.m_dataCentre;
+        options.m_control = vm.m_control;
+        options.m_incarnation = Incarnation{m_incarnation++};
+        options.m_platform = m_api;
+        options.m_seeds = m_vms;
+        options.m_parser = parseTestConfiguration;
+        return options;
+    }
+
+    std::unique_ptr<MembershipService> startEntry(const Vm &vm)
+    {
+        auto service = std::make_unique<MembershipService>(optionsFor(vm));
+        service->registerHandler(20, [](const std::string &payload) { return payload + "!"; });
+        Failure failure;
+        BOOST_REQUIRE_MESSAGE(service->start(failure), failure.m_reason);
+        return service;
+    }
+
+    bool allHold(std::uint64_t version)
+    {
+        for (const auto &entry : m_entries) {
+            if (!entry->isCurrent() || entry->configuration()->m_version < version)
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MembershipServices)
+
+BOOST_AUTO_TEST_CASE(a_change_spreads_and_a_restart_in_an_outage_takes_it_from_peers)
+{
+    Deployment deployment;
+    BOOST_REQUIRE(comesTrue([&] { return deployment.allHold(1); }));
+    BOOST_TEST(comesTrue([&] { return deployment.m_entries[0]->entries().size() == 6; }));
+    const ApplyResult result =
+        deployment.m_entries[0]->apply(1, "a !b c", "change-1", Clock::now() + patience);
+    BOOST_TEST((result.m_outcome == ApplyOutcome::Accepted), result.m_reason);
+    BOOST_TEST(comesTrue([&] { return deployment.allHold(2); }));
+    BOOST_TEST(
+        deployment.m_entries[5]->configuration()->m_configuration.isTakenOut(DataCentreName("b")));
+    const ApplyResult race =
+        deployment.m_entries[1]->apply(1, "a b !c", "change-2", Clock::now() + patience);
+    BOOST_TEST((race.m_outcome == ApplyOutcome::Conflict));
+    BOOST_TEST(race.m_text == "a !b c");
+
+    deployment.m_platform.setDown(true);
+    deployment.m_entries[3].reset();
+    deployment.m_entries[3] = deployment.startEntry(deployment.m_vms[3]);
+    BOOST_TEST(comesTrue([&] { return deployment.allHold(2); }));
+    const ApplyResult refused =
+        deployment.m_entries[0]->apply(2, "a b c", "change-3", Clock::now() + Seconds(5));
+    BOOST_TEST((refused.m_outcome == ApplyOutcome::PlatformUnavailable));
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_is_announced_and_its_end_is_noticed)
+{
+    Deployment deployment;
+    Vm vm{ProcessName("agent"), VmRole::Endpoint, DataCentreName("b"), freeLoopbackAddress(),
+          false};
+    MembershipOptions options = deployment.optionsFor(vm);
+    options.m_announcement =
+        ReplicaAnnouncement{EndpointName("rank"), vm.m_dataCentre, freeLoopbackAddress(),
+                            options.m_incarnation, ReplicaState::Alive};
+    auto agent = std::make_unique<MembershipService>(options);
+    Failure failure;
+    BOOST_REQUIRE(agent->start(failure));
+    BOOST_TEST(comesTrue([&] { return agent->isCurrent(); }));
+    const auto stateIs = [&](ReplicaState state) {
+        const auto known = deployment.m_entries[0]->announcements();
+        return known.size() == 1 && known[0].m_state == state
+               && known[0].m_link == options.m_announcement->m_link;
+    };
+    BOOST_TEST(comesTrue([&] { return stateIs(ReplicaState::Alive); }));
+    agent->setLeaving();
+    BOOST_TEST(comesTrue([&] { return stateIs(ReplicaState::Leaving); }));
+    agent.reset();
+    BOOST_TEST(comesTrue([&] { return deployment.m_entries[0]->announcements().empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(control_messages_of_other_parts_are_answered_once)
+{
+    Deployment deployment;
+    Failure failure;
+    const auto answer = deployment.m_entries[0]->call(deployment.m_vms[4].m_control, 20, "hello",
+                                                      Clock::now() + patience, failure);
+    BOOST_TEST((answer == std::optional<std::string>("hello!")));
+    const auto unknown = deployment.m_entries[0]->call(deployment.m_vms[4].m_control, 21, "hello",
+                                                       Clock::now() + patience, failure);
+    BOOST_TEST(!unknown.has_value());
+    BOOST_TEST((failure.m_kind == ErrorKind::PeerUnreachable));
+    const auto nobody = deployment.m_entries[0]->call(freeLoopbackAddress(), 20, "hello",
+                                                      Clock::now() + Milliseconds(300), failure);
+    BOOST_TEST(!nobody.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
