--- /dev/null
+++ b/src/burdockhead/observe/counter.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <atomic>
+
+namespace burdockhead {
+
+// A number that only grows. Thread-safe without a lock.
+class Counter
+{
+public:
+    void add(double amount = 1) { m_value.fetch_add(amount, std::memory_order_relaxed); }
+    double value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<double> m_value = 0;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/observe/log.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <burdockhead/observe/loglevel.h>
+
+#include <cstdint>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+namespace burdockhead {
+
+// One key and value of a log line.
+struct LogField
+{
+    LogField(std::string key, std::string value);
+    LogField(std::string key, const char *value);
+    template <typename Number>
+    requires std::is_arithmetic_v<Number> LogField(std::string key, Number value)
+        : LogField(std::move(key), std::to_string(value))
+    {}
+
+    std::string m_key;
+    std::string m_value;
+};
+
+using LogFields = std::vector<LogField>;
+
+// Sets up logging to the standard error stream. Called once, before the first line.
+void initializeLog(LogLevel level, const std::string &processName);
+
+// Logs a change of state as one line of key=value pairs: time, level, process, event and
+// the fields; values with blanks or quotes are quoted. What happens per request is counted
+// instead. Thread-safe.
+void logInfo(const std::string &event, const LogFields &fields = {});
+void logWarning(const std::string &event, const LogFields &fields = {});
+void logError(const std::string &event, const LogFields &fields = {});
+
+// A log line without its time, as the functions above write it.
+std::string logLine(LogLevel level, const std::string &processName, const std::string &event,
+                    const LogFields &fields);
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/observe/metriclabel.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace burdockhead {
+
+// One label of a metric.
+struct MetricLabel
+{
+    std::string m_name;
+    std::string m_value;
+
+    friend bool operator==(const MetricLabel &, const MetricLabel &) = default;
+    friend bool operator<(const MetricLabel &left, const MetricLabel &right)
+    {
+        return std::tie(left.m_name, left.m_value) < std::tie(right.m_name, right.m_value);
+    }
+};
+
+using MetricLabels = std::vector<MetricLabel>;
+
+} // namespace burdockhead
