--- a/src/burdockhead/admission/admissioncontroller.h
+++ b/src/burdockhead/admission/admissioncontroller.h
@@ -62,6 +62,9 @@
     // Refuses all new and queued requests as not run from now on; running ones go on.
     std::vector<AdmissionAction> startLeaving(TimePoint now);
 
+    // Takes new requests again.
+    void stopLeaving() { m_leaving = false; }
+
     // True when leaving and nothing runs any more.
     bool drained() const { return m_leaving && m_running.empty(); }
 
--- a/src/burdockhead/agent/agentcore.cpp
+++ b/src/burdockhead/agent/agentcore.cpp
@@ -93,6 +93,12 @@
     perform(m_admission.startLeaving(Clock::now()));
 }
 
+void AgentCore::stopLeaving()
+{
+    const Lock lock(m_mutex);
+    m_admission.stopLeaving();
+}
+
 bool AgentCore::drained() const
 {
     const Lock lock(m_mutex);
--- a/src/burdockhead/agent/agentcore.h
+++ b/src/burdockhead/agent/agentcore.h
@@ -42,6 +42,9 @@
     // Refuses new work from now on and finishes what runs.
     void startLeaving();
 
+    // Takes new work again, after the data centre was brought back.
+    void stopLeaving();
+
     // True when leaving and nothing runs or is being sent any more.
     bool drained() const;
 
