Prove at most once over the ledger, tickets and claims

Cause: a key must run at most once whatever the platform, the network, entries and agents do, and "not run" must be true.

Ruled out: storing caller's keys in claims (a digest of 16 bytes bounds a claim to about 60 bytes; two keys with one digest only share an agent). Conclusion: the mechanisms are needed and suffice for what the world models.

--- /dev/null
+++ b/src/burdockhead/idempotency/claimshardwriter.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <burdockhead/idempotency/pendingclaim.h>
+
+#include <string>
+#include <vector>
+
+namespace burdockhead {
+
+// Brings batches of claims into one shard's object. Used by one thread.
+class ClaimShardWriter
+{
+public:
+    ClaimShardWriter(ObjectApi &api, const ClaimServiceLimits &limits, std::uint32_t shard);
+
+    // Answers the claims by what is known, or by one conditional write, tried again a few
+    // times when another entry's came first. Claims stay in `batch` for the next call when
+    // the platform gave no answer. After a write without an answer the object is read back
+    // before anything else.
+    void process(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
+                 ClaimServiceCounters &counters);
+
+private:
+    WriteResult attempt(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
+                        ClaimServiceCounters &counters);
+    bool load(ClaimServiceCounters &counters);
+    void answerKnown(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
+                     ClaimServiceCounters &counters);
+    WriteResult write(const ClaimShard &changed, ClaimServiceCounters &counters);
+
+    ObjectApi &m_api;
+    ClaimServiceLimits m_limits;
+    std::string m_name;
+    std::uint64_t m_version = 0;
+    std::uint32_t m_readsFirst = 0;    // Writes to come that are preceded by a read.
+    std::optional<ClaimShard> m_known; // As the platform holds it; none: read it first.
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/idempotency/pendingclaim.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/idempotency/claimservice.h>
+
+namespace burdockhead {
+
+// A claim that waits for the platform.
+struct PendingClaim
+{
+    Claim m_claim;
+    TimePoint m_deadline;
+    ClaimService::Handler m_handler;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/internal/idempotency/requestworld.cpp
@@ -0,0 +1,325 @@
+#include "requestworld.h"
+
+#include <array>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::size_t endpointCount = 2;
+constexpr std::size_t entryCount = 3;
+constexpr std::array<const char *, 4> keys = {"claimed-1", "claimed-2", "ticket-1", "ticket-2"};
+constexpr std::uint64_t wallNow = 1'000'000;
+constexpr Milliseconds timeStep{6LL * 60 * 1000};
+
+bool isTicket(const std::string &key)
+{
+    return key.starts_with("ticket");
+}
+
+} // namespace
+
+RequestWorld::RequestWorld(Without without)
+    : m_without(without)
+    , m_blind(m_platform)
+    , m_entries(entryCount)
+{
+    m_platform.m_faults = [this] {
+        if (m_faults.empty())
+            return PlatformFault::None;
+        const PlatformFault fault = m_faults.front();
+        m_faults.pop_front();
+        return fault;
+    };
+    for (Entry &entry : m_entries)
+        startEntry(entry);
+    for (std::uint32_t endpoint = 0; endpoint < endpointCount; ++endpoint)
+        replaceAgent(endpoint);
+}
+
+void RequestWorld::step(std::uint32_t event, std::uint32_t choice)
+{
+    switch (event % 16) {
+    case 0:
+    case 1:
+    case 2:
+        call(keys[choice % keys.size()], m_entries[choice / keys.size() % entryCount], choice / 16);
+        break;
+    case 3:
+    case 4:
+    case 5:
+    case 6:
+        deliver(choice, false);
+        break;
+    case 7:
+        deliver(choice, true);
+        break;
+    case 8:
+        if (!m_network.empty())
+            m_network.erase(m_network.begin() + choice % m_network.size());
+        break;
+    case 9:
+        replaceAgent(choice);
+        break;
+    case 10:
+        wake(choice);
+        break;
+    case 11:
+        finish(choice);
+        break;
+    case 12:
+        giveUp(choice);
+        break;
+    case 13:
+        startEntry(m_entries[choice % entryCount]);
+        break;
+    case 14:
+        m_faults.push_back(choice % 2 == 0 ? PlatformFault::Down : PlatformFault::LostAnswer);
+        break;
+    case 15:
+        if (choice % 2 == 0)
+            m_refusing = !m_refusing;
+        else
+            m_now += timeStep;
+        break;
+    }
+}
+
+bool RequestWorld::recovers()
+{
+    m_faults.clear();
+    m_refusing = false;
+    for (Process &process : m_processes)
+        process.m_paused = false;
+    const auto settle = [this] {
+        while (!m_network.empty())
+            deliver(0, false);
+        for (std::uint32_t choice = 0; choice < 2 * m_processes.size(); choice += 2)
+            finish(choice);
+        while (!m_network.empty())
+            deliver(0, false);
+    };
+    settle();
+    m_final.clear();
+    for (const char *key : keys) {
+        for (Entry &entry : m_entries) {
+            call(key, entry, 0);
+            settle();
+        }
+    }
+    return m_final.size() == keys.size();
+}
+
+void RequestWorld::call(const std::string &key, Entry &entry, std::uint32_t choice)
+{
+    Message message;
+    message.m_key = key;
+    message.m_request.m_attempt = {entry.m_issuer, ++entry.m_sequence};
+    message.m_request.m_fingerprint = 1;
+    message.m_request.m_key = key;
+    const auto binding = bindingOf(key, entry, choice);
+    if (!binding)
+        return reply(message, Outcome::NotRun);
+    message.m_to = *binding;
+    message.m_request.m_boundTo = *binding;
+    if (isTicket(key) && m_without != Without::Binding)
+        message.m_request.m_ticket = m_tickets.at(key);
+    m_network.push_back(message);
+    m_sent.push_back(message);
+}
+
+std::optional<Incarnation> RequestWorld::bindingOf(const std::string &key, Entry &entry,
+                                                   std::uint32_t choice)
+{
+    const Process &wanted = newestOf(choice % endpointCount);
+    if (m_without == Without::Binding)
+        return wanted.m_incarnation;
+    if (isTicket(key)) {
+        if (!m_tickets.contains(key))
+            m_tickets[key] = {EndpointName("e"), wanted.m_incarnation, entry.m_issuer,
+                              ++m_lastTicket};
+        return m_tickets.at(key).m_incarnation;
+    }
+    std::optional<Incarnation> bound;
+    std::vector<PendingClaim> batch;
+    batch.push_back({{key, {EndpointName("e"), wanted.m_incarnation}},
+                     {},
+                     [&](const std::optional<Binding> &binding, const Failure &) {
+                         if (binding)
+                             bound = binding->m_incarnation;
+                     }});
+    ClaimServiceCounters counters;
+    for (int tries = 0; tries < 2 && !batch.empty(); ++tries)
+        entry.m_writer->process(batch, wallNow, counters);
+    return bound;
+}
+
+// Takes any message out of the network, or a copy of it, and lets it arrive.
+void RequestWorld::deliver(std::uint32_t choice, bool keepCopy)
+{
+    if (m_network.empty())
+        return;
+    const auto place = m_network.begin() + choice % m_network.size();
+    const Message message = *place;
+    if (message.m_type == MessageType::Reply) {
+        m_network.erase(place);
+        return observe(message);
+    }
+    Process *process = find(message.m_to);
+    if (process->m_paused)
+        return;
+    if (!keepCopy)
+        m_network.erase(place);
+    if (!process->m_dead)
+        receive(*process, message);
+    else
+        reply(message, Outcome::Unknown);
+}
+
+void RequestWorld::receive(Process &process, const Message &message)
+{
+    if (message.m_type == MessageType::Dispatch)
+        return dispatch(process, message);
+    switch (process.m_ledger.tombstone(message.m_request.m_attempt, m_now)) {
+    case RunState::NotRun:
+        return reply(message, Outcome::NotRun);
+    case RunState::Ran:
+    case RunState::Unknown:
+        return reply(message, Outcome::Unknown);
+    }
+}
+
+void RequestWorld::dispatch(Process &process, const Message &message)
+{
+    if (m_refusing && m_without == Without::Tombstone)
+        return reply(message, Outcome::NotRun);
+    const LedgerDecision decision = process.m_ledger.dispatch(message.m_request, m_now);
+    switch (decision.m_verdict) {
+    case LedgerVerdict::Run:
+        return run(process, message);
+    case LedgerVerdict::Replay:
+        return reply(message, Outcome::Answer, decision.m_answer->m_body);
+    case LedgerVerdict::AlreadyRunning:
+        process.m_waiting[message.m_key].push_back(message.m_request.m_attempt);
+        return;
+    case LedgerVerdict::RefusedTombstoned:
+    case LedgerVerdict::Full:
+        return reply(message, Outcome::NotRun);
+    case LedgerVerdict::StaleIncarnation:
+    case LedgerVerdict::KeyReusedForOtherRequest:
+    case LedgerVerdict::OutcomeUnknown:
+        return reply(message, Outcome::Unknown);
+    }
+}
+
+void RequestWorld::run(Process &process, const Message &message)
+{
+    if (m_refusing) {
+        process.m_ledger.neverStarted(message.m_request.m_attempt, m_now);
+        return reply(message, Outcome::NotRun);
+    }
+    process.m_waiting[message.m_key].push_back(message.m_request.m_attempt);
+    m_ran.insert(message.m_request.m_attempt);
+    m_holds = m_holds && ++m_runs[message.m_key] == 1;
+    m_holds = m_holds && !m_saidNotRun.contains(message.m_request.m_attempt);
+}
+
+// Some agent's endpoint ends a request, and its answer comes or is lost.
+void RequestWorld::finish(std::uint32_t choice)
+{
+    Process &process = m_processes[choice / 2 % m_processes.size()];
+    if (process.m_dead || process.m_paused || process.m_waiting.empty())
+        return;
+    const auto running = process.m_waiting.begin();
+    const bool lost = choice % 2 == 1;
+    const std::string answer = running->first + " by " + std::to_string(m_runs[running->first]);
+    for (const AttemptId &attempt : running->second) {
+        if (lost)
+            process.m_ledger.failedUnknown(attempt, m_now);
+        else
+            process.m_ledger.completed(attempt, {200, "text/plain", answer}, m_now);
+        Message to;
+        to.m_key = running->first;
+        to.m_request.m_attempt = attempt;
+        reply(to, lost ? Outcome::Unknown : Outcome::Answer, answer);
+    }
+    process.m_waiting.erase(running);
+}
+
+void RequestWorld::giveUp(std::uint32_t choice)
+{
+    if (m_sent.empty())
+        return;
+    Message message = m_sent[choice % m_sent.size()];
+    message.m_type = MessageType::GiveUp;
+    m_network.push_back(message);
+}
+
+// The agent's process dies, or is paused and taken for dead; a new one starts.
+void RequestWorld::replaceAgent(std::uint32_t choice)
+{
+    const std::size_t endpoint = choice % endpointCount;
+    for (Process &process : m_processes) {
+        if (process.m_endpoint != endpoint || process.m_dead)
+            continue;
+        process.m_dead = choice / 2 % 2 == 0;
+        process.m_paused = !process.m_dead;
+    }
+    const Incarnation incarnation{++m_lastIncarnation};
+    m_processes.push_back(
+        {endpoint, incarnation, RequestLedger(incarnation, LedgerLimits()), false, false, {}});
+}
+
+void RequestWorld::wake(std::uint32_t choice)
+{
+    m_processes[choice % m_processes.size()].m_paused = false;
+}
+
+void RequestWorld::reply(const Message &to, Outcome outcome, const std::string &answer)
+{
+    Message message = to;
+    message.m_type = MessageType::Reply;
+    message.m_outcome = outcome;
+    message.m_answer = answer;
+    if (outcome == Outcome::NotRun)
+        m_holds = m_holds && !m_ran.contains(to.m_request.m_attempt);
+    if (outcome == Outcome::NotRun)
+        m_saidNotRun.insert(to.m_request.m_attempt);
+    m_network.push_back(message);
+}
+
+// The caller reads a reply.
+void RequestWorld::observe(const Message &reply)
+{
+    if (reply.m_outcome != Outcome::NotRun)
+        m_final.insert(reply.m_key);
+    if (reply.m_outcome != Outcome::Answer)
+        return;
+    const auto &first = m_answers.emplace(reply.m_key, reply.m_answer).first->second;
+    m_holds = m_holds && first == reply.m_answer;
+}
+
+void RequestWorld::startEntry(Entry &entry)
+{
+    entry.m_issuer = ++m_lastIssuer;
+    entry.m_sequence = 0;
+    ObjectApi &api =
+        m_without == Without::ReadBack ? static_cast<ObjectApi &>(m_blind) : m_platform;
+    entry.m_writer.emplace(api, ClaimServiceLimits(), 0);
+}
+
+RequestWorld::Process &RequestWorld::newestOf(std::size_t endpoint)
+{
+    for (auto process = m_processes.rbegin(); process != m_processes.rend(); ++process) {
+        if (process->m_endpoint == endpoint)
+            return *process;
+    }
+    return m_processes.back();
+}
+
+RequestWorld::Process *RequestWorld::find(Incarnation incarnation)
+{
+    return &m_processes[incarnation.m_value - 1];
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/internal/idempotency/test_atmostonce.cpp
@@ -0,0 +1,48 @@
+#include "requestworld.h"
+
+#include <property.h>
+#include <utility>
+
+using namespace burdockhead;
+
+namespace {
+
+using Steps = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+
+// Runs a world over drawn events; gives whether the promises held all the time.
+bool promisesHold(Without without)
+{
+    RequestWorld world(without);
+    const auto event = rc::gen::inRange<std::uint32_t>(0, 16);
+    const auto choice = rc::gen::inRange<std::uint32_t>(0, 1024);
+    const auto steps = *rc::gen::container<Steps>(80, rc::gen::pair(event, choice));
+    for (const auto &[drawnEvent, drawnChoice] : steps)
+        world.step(drawnEvent, drawnChoice);
+    return world.recovers() && world.holds();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AtMostOnce)
+
+BOOST_AUTO_TEST_CASE(a_key_runs_at_most_once_and_not_run_is_true_under_any_faults)
+{
+    checkProperty("at most once", [] { RC_ASSERT(promisesHold(Without::Nothing)); });
+}
+
+BOOST_AUTO_TEST_CASE(without_the_binding_to_an_incarnation_a_key_runs_twice)
+{
+    BOOST_TEST(!rc::check("no binding", [] { RC_ASSERT(promisesHold(Without::Binding)); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_tombstones_a_refused_attempt_runs)
+{
+    BOOST_TEST(!rc::check("no tombstone", [] { RC_ASSERT(promisesHold(Without::Tombstone)); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_reading_back_a_lost_write_answer_a_key_runs_twice)
+{
+    BOOST_TEST(!rc::check("blind resend", [] { RC_ASSERT(promisesHold(Without::ReadBack)); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/idempotency/test_requestledger.cpp
@@ -0,0 +1,126 @@
+#include <burdockhead/idempotency/requestledger.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockhead;
+
+namespace {
+
+constexpr Incarnation own{3};
+constexpr TimePoint start{Seconds(1000)};
+const StoredAnswer answer{201, "application/json", "{}"};
+
+LedgerRequest requestOf(std::uint64_t sequence, const std::string &key)
+{
+    LedgerRequest request;
+    request.m_attempt = {1, sequence};
+    request.m_key = key;
+    request.m_fingerprint = 11;
+    request.m_boundTo = own;
+    return request;
+}
+
+LedgerVerdict verdictOf(RequestLedger &ledger, const LedgerRequest &request, TimePoint now = start)
+{
+    return ledger.dispatch(request, now).m_verdict;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Ledger)
+
+BOOST_AUTO_TEST_CASE(a_completed_request_is_replayed_and_a_running_one_is_joined)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    BOOST_TEST((verdictOf(ledger, requestOf(1, "k")) == LedgerVerdict::Run));
+    BOOST_TEST((verdictOf(ledger, requestOf(2, "k")) == LedgerVerdict::AlreadyRunning));
+    ledger.completed({1, 1}, answer, start);
+    const LedgerDecision replay = ledger.dispatch(requestOf(3, "k"), start);
+    BOOST_TEST((replay == LedgerDecision{LedgerVerdict::Replay, answer}));
+}
+
+BOOST_AUTO_TEST_CASE(a_key_for_another_request_or_another_run_is_refused)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    verdictOf(ledger, requestOf(1, "k"));
+    LedgerRequest other = requestOf(2, "k");
+    other.m_fingerprint = 12;
+    BOOST_TEST((verdictOf(ledger, other) == LedgerVerdict::KeyReusedForOtherRequest));
+    other.m_boundTo = Incarnation{2};
+    BOOST_TEST((verdictOf(ledger, other) == LedgerVerdict::StaleIncarnation));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_attempt_stays_refused_and_its_key_runs_under_a_new_one)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    verdictOf(ledger, requestOf(1, "k"));
+    ledger.neverStarted({1, 1}, start);
+    BOOST_TEST((verdictOf(ledger, requestOf(1, "k")) == LedgerVerdict::RefusedTombstoned));
+    BOOST_TEST((verdictOf(ledger, requestOf(2, "k")) == LedgerVerdict::Run));
+}
+
+BOOST_AUTO_TEST_CASE(a_tombstone_tells_what_is_known_of_the_attempt)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    BOOST_TEST((ledger.tombstone({1, 9}, start) == RunState::NotRun));
+    BOOST_TEST((verdictOf(ledger, requestOf(9, "a")) == LedgerVerdict::RefusedTombstoned));
+    verdictOf(ledger, requestOf(10, "b"));
+    BOOST_TEST((ledger.tombstone({1, 10}, start) == RunState::Unknown));
+    ledger.completed({1, 10}, answer, start);
+    BOOST_TEST((ledger.tombstone({1, 10}, start) == RunState::Ran));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_cannot_run_after_its_record_was_dropped)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    verdictOf(ledger, requestOf(1, ""));
+    ledger.completed({1, 1}, answer, start);
+    ledger.tombstone({1, 2}, start);
+    const TimePoint later = start + LedgerLimits().m_attemptRetention + Seconds(1);
+    ledger.expire(later);
+    BOOST_TEST(ledger.size() == 0U);
+    BOOST_TEST((verdictOf(ledger, requestOf(1, ""), later) == LedgerVerdict::OutcomeUnknown));
+    BOOST_TEST((verdictOf(ledger, requestOf(2, ""), later) == LedgerVerdict::OutcomeUnknown));
+    BOOST_TEST((verdictOf(ledger, requestOf(3, ""), later) == LedgerVerdict::Run));
+}
+
+BOOST_AUTO_TEST_CASE(a_ticket_is_refused_once_its_record_was_dropped)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    LedgerRequest request = requestOf(1, "");
+    request.m_ticket = Ticket{EndpointName("e"), own, 5, 1};
+    BOOST_TEST((verdictOf(ledger, request) == LedgerVerdict::Run));
+    ledger.completed({1, 1}, answer, start);
+    request.m_attempt.m_sequence = 2;
+    const TimePoint later = start + LedgerLimits().m_keyRetention + Seconds(1);
+    BOOST_TEST((verdictOf(ledger, request, later) == LedgerVerdict::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_ledger_refuses_new_keys_and_keeps_the_old)
+{
+    LedgerLimits limits;
+    limits.m_bytes = 4000;
+    RequestLedger ledger(own, limits);
+    std::uint64_t sequence = 0;
+    LedgerVerdict verdict = LedgerVerdict::Run;
+    while (verdict == LedgerVerdict::Run) {
+        ++sequence;
+        verdict = verdictOf(ledger, requestOf(sequence, std::to_string(sequence)));
+    }
+    BOOST_TEST((verdict == LedgerVerdict::Full));
+    BOOST_TEST(ledger.bytes() <= limits.m_bytes);
+    BOOST_TEST((verdictOf(ledger, requestOf(90, "1")) == LedgerVerdict::AlreadyRunning));
+    // Without room for a tombstone the refusal must hold all the same.
+    BOOST_TEST((ledger.tombstone({1, 95}, start) == RunState::NotRun));
+    BOOST_TEST((verdictOf(ledger, requestOf(95, "x")) != LedgerVerdict::Run));
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_outcome_is_not_repeated)
+{
+    RequestLedger ledger(own, LedgerLimits());
+    verdictOf(ledger, requestOf(1, "k"));
+    ledger.failedUnknown({1, 1}, start);
+    BOOST_TEST((verdictOf(ledger, requestOf(2, "k")) == LedgerVerdict::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
