Run the entry as a process

Cause: callers need one port that gives addresses, takes requests and tells what became of a key; operators need another for the configuration and the members.

Ruled out: a look-up that dispatches with the request's fingerprint (the caller who asks what became of a key has no body); the ledger has a look-up of its own that never takes a key on, and a claim with an empty endpoint only asks.

--- a/src/burdockhead/agent/agentcore.cpp
+++ b/src/burdockhead/agent/agentcore.cpp
@@ -128,6 +128,10 @@
 void AgentCore::onDispatch(const FrameConnectionPointer &connection, const DispatchFrame &frame)
 {
     const Lock lock(m_mutex);
+    if (frame.m_onlyIfKnown) {
+        onLookUp(connection, frame);
+        return;
+    }
     const TimePoint now = Clock::now();
     const AnswerSubscriber subscriber{connection, frame.m_attempt};
     ++m_counters.m_dispatches;
@@ -161,11 +165,31 @@
     }
 }
 
+void AgentCore::onLookUp(const FrameConnectionPointer &connection, const DispatchFrame &frame)
+{
+    const AnswerSubscriber subscriber{connection, frame.m_attempt};
+    const LedgerDecision decision = m_ledger.lookUp(ledgerRequest(frame));
+    switch (decision.m_verdict) {
+    case LedgerVerdict::Replay:
+        replay(subscriber, *decision.m_answer);
+        return;
+    case LedgerVerdict::AlreadyRunning:
+        connection->send(HeadFrame{frame.m_attempt, processingStatus, "", false});
+        return;
+    case LedgerVerdict::Run:
+        refuse(subscriber, ErrorKind::NoEndpoint, RunState::NotRun, "", Clock::now());
+        return;
+    default:
+        refuse(subscriber, ErrorKind::OutcomeUnknown, RunState::Unknown, "", Clock::now());
+        return;
+    }
+}
+
 void AgentCore::admit(const FrameConnectionPointer &connection, const DispatchFrame &frame,
                       TimePoint now)
 {
     const AnswerSubscriber subscriber{connection, frame.m_attempt};
-    if (const auto closed = frame.m_onlyIfKnown ? ErrorKind::NoEndpoint : m_gate()) {
+    if (const auto closed = m_gate()) {
         m_ledger.neverStarted(frame.m_attempt, now);
         refuse(subscriber, *closed, RunState::NotRun, "", now + Seconds(1));
         return;
@@ -206,7 +230,7 @@
 {
     const auto key = m_byKey.find(ledgerKey(frame.m_facts));
     const WorkPointer work = key == m_byKey.end() ? nullptr : find(key->second);
-    if (!work || frame.m_onlyIfKnown) {
+    if (!work) {
         refuse(subscriber, ErrorKind::OutcomeUnknown, RunState::Unknown, "it is running",
                Clock::now());
         return;
--- a/src/burdockhead/agent/agentcore.h
+++ b/src/burdockhead/agent/agentcore.h
@@ -57,6 +57,7 @@
 
     void onFrame(const FrameConnectionPointer &connection, const Frame &frame);
     void onDispatch(const FrameConnectionPointer &connection, const DispatchFrame &frame);
+    void onLookUp(const FrameConnectionPointer &connection, const DispatchFrame &frame);
     void onCancel(const AttemptId &attempt);
     void onClosed(const FrameConnectionPointer &connection);
     void admit(const FrameConnectionPointer &connection, const DispatchFrame &frame, TimePoint now);
--- /dev/null
+++ b/src/burdockhead/entry/claimkeybinder.cpp
@@ -0,0 +1,52 @@
+#include <burdockhead/entry/claimkeybinder.h>
+#include <burdockhead/idempotency/ticket.h>
+#include <burdockhead/observe/wallclock.h>
+#include <burdockhead/transport/workerpool.h>
+
+namespace burdockhead {
+
+ClaimKeyBinder::ClaimKeyBinder(ObjectApi &platform, WorkerPool &pool)
+    : m_pool(pool)
+    , m_claims(platform, ClaimServiceLimits{}, wallMilliseconds)
+{}
+
+// True when the key is a ticket, or claims to be one; the handler is then called.
+bool ClaimKeyBinder::bindTicket(const std::string &key, const Handler &handler)
+{
+    if (!Ticket::looksLike(key))
+        return false;
+    m_pool.post([key, handler] {
+        const auto ticket = Ticket::parse(key);
+        if (ticket)
+            handler(Binding{ticket->m_endpoint, ticket->m_incarnation}, {});
+        else
+            handler(std::nullopt, {ErrorKind::MalformedRequest, "the ticket is damaged"});
+    });
+    return true;
+}
+
+void ClaimKeyBinder::bind(const std::string &workspace, const std::string &key,
+                          const Binding &proposal, TimePoint deadline, Handler handler)
+{
+    if (bindTicket(key, handler))
+        return;
+    // Posted, since a full queue of claims is answered in the caller's own call.
+    m_claims.claim({workspace + "\n" + key, proposal}, deadline,
+                   [this, handler = std::move(handler)](const std::optional<Binding> &binding,
+                                                        const Failure &failure) {
+                       m_pool.post([handler, binding, failure] { handler(binding, failure); });
+                   });
+}
+
+void ClaimKeyBinder::find(const std::string &workspace, const std::string &key, TimePoint deadline,
+                          Handler handler)
+{
+    bind(workspace, key, {}, deadline, std::move(handler));
+}
+
+ClaimServiceCounters ClaimKeyBinder::counters() const
+{
+    return m_claims.counters();
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/entry/claimkeybinder.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <burdockhead/entry/keybinder.h>
+#include <burdockhead/idempotency/claimservice.h>
+
+namespace burdockhead {
+
+class WorkerPool;
+
+// Binds keys by claims in the platform; a key that is a ticket names its binding itself.
+class ClaimKeyBinder : public KeyBinder
+{
+public:
+    ClaimKeyBinder(ObjectApi &platform, WorkerPool &pool);
+
+    void bind(const std::string &workspace, const std::string &key, const Binding &proposal,
+              TimePoint deadline, Handler handler) override;
+    void find(const std::string &workspace, const std::string &key, TimePoint deadline,
+              Handler handler) override;
+
+    ClaimServiceCounters counters() const;
+
+private:
+    bool bindTicket(const std::string &key, const Handler &handler);
+
+    WorkerPool &m_pool;
+    ClaimService m_claims;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/entry/entryoperators.cpp
@@ -0,0 +1,127 @@
+#include <burdockhead/entry/entryoperators.h>
+#include <burdockhead/entry/errorresponse.h>
+#include <burdockhead/membership/membershipservice.h>
+#include <burdockhead/observe/eventring.h>
+#include <burdockhead/process/operatorsport.h>
+#include <burdockhead/process/processstart.h>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr Seconds applyLimit{10};
+constexpr int okStatus = 200;
+
+struct OutcomeAnswer
+{
+    ApplyOutcome m_outcome;
+    int m_status;
+    const char *m_name;
+};
+
+constexpr OutcomeAnswer outcomeAnswers[] = {
+    {ApplyOutcome::Accepted, 200, "accepted"},
+    {ApplyOutcome::Conflict, 409, "conflict"},
+    {ApplyOutcome::Invalid, 400, "invalid"},
+    {ApplyOutcome::Unknown, 502, "unknown"},
+    {ApplyOutcome::PlatformUnavailable, 503, "unavailable"},
+};
+
+const OutcomeAnswer &answerFor(ApplyOutcome outcome)
+{
+    return outcomeAnswers[static_cast<std::size_t>(outcome)];
+}
+
+std::optional<std::uint64_t> parseVersion(const std::string &text)
+{
+    std::uint64_t version = 0;
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, version);
+    if (result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return version;
+}
+
+std::string newNonce()
+{
+    return fmt::format("{:016x}{:016x}", systemSeed(), systemSeed());
+}
+
+} // namespace
+
+EntryOperators::EntryOperators(MembershipService &membership, EventRing &events)
+    : m_membership(membership)
+    , m_events(events)
+{}
+
+void EntryOperators::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.m_path == "/configuration" && request.m_method == "GET")
+        showConfiguration(responder);
+    else if (request.m_path == "/configuration" && request.m_method == "PUT")
+        changeConfiguration(request, responder);
+    else if (request.m_path == "/members" && request.m_method == "GET")
+        listMembers(responder);
+    else
+        respondUnknownPath(request, responder);
+}
+
+void EntryOperators::showConfiguration(HttpResponder &responder)
+{
+    const ConfigurationPointer current = m_membership.configuration();
+    const std::string version = std::to_string(current ? current->m_version : 0);
+    responder.respond(
+        {okStatus,
+         {{"Content-Type", "text/plain; charset=utf-8"}, {"X-Configuration-Version", version}},
+         current ? current->m_text : std::string()});
+}
+
+void EntryOperators::changeConfiguration(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto version = parseVersion(request.header("If-Match").value_or(""));
+    if (!version) {
+        responder.respond(errorResponse({ErrorKind::MalformedRequest,
+                                         RunState::NotRun,
+                                         "If-Match must be the version that the change is based on",
+                                         {},
+                                         ""},
+                                        Clock::now()));
+        return;
+    }
+    const ApplyResult result =
+        m_membership.apply(*version, request.m_body, newNonce(), Clock::now() + applyLimit);
+    const OutcomeAnswer &answer = answerFor(result.m_outcome);
+    m_events.record(result.m_outcome == ApplyOutcome::Accepted ? EventType::ConfigurationApplied
+                                                               : EventType::ConfigurationRefused,
+                    {}, fmt::format("change on version {}: {}", *version, answer.m_name));
+    const nlohmann::json body{{"version", result.m_version},
+                              {"outcome", answer.m_name},
+                              {"reason", result.m_reason},
+                              {"text", result.m_text}};
+    responder.respond({answer.m_status, {{"Content-Type", "application/json"}}, body.dump()});
+}
+
+void EntryOperators::listMembers(HttpResponder &responder)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const EntryInfo &entry : m_membership.entries())
+        members.push_back({{"name", entry.m_name.text()},
+                           {"role", "entry"},
+                           {"data_centre", entry.m_dataCentre.text()},
+                           {"control", entry.m_control.toString()},
+                           {"incarnation", entry.m_incarnation.m_value}});
+    for (const ReplicaAnnouncement &agent : m_membership.announcements())
+        members.push_back({{"name", agent.m_endpoint.text()},
+                           {"role", "agent"},
+                           {"data_centre", agent.m_dataCentre.text()},
+                           {"link", agent.m_link.toString()},
+                           {"incarnation", agent.m_incarnation.m_value}});
+    responder.respond({okStatus, {{"Content-Type", "application/json"}}, members.dump()});
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/entry/flowregistry.cpp
@@ -0,0 +1,32 @@
+#include <burdockhead/entry/flowregistry.h>
+#include <burdockhead/entry/requestflow.h>
+
+namespace burdockhead {
+
+bool FlowRegistry::add(const std::shared_ptr<RequestFlow> &flow, std::size_t limit)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_flows.size() >= limit)
+        return false;
+    m_flows.emplace(flow->facts().m_id, flow);
+    return true;
+}
+
+void FlowRegistry::remove(const RequestId &id)
+{
+    std::shared_ptr<RequestFlow> removed; // Destroyed after the lock is released.
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_flows.find(id);
+    if (found == m_flows.end())
+        return;
+    removed = std::move(found->second);
+    m_flows.erase(found);
+}
+
+std::size_t FlowRegistry::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_flows.size();
+}
+
+} // namespace burdockhead
--- a/src/burdockhead/entry/keyedrequestflow.cpp
+++ b/src/burdockhead/entry/keyedrequestflow.cpp
@@ -25,7 +25,7 @@
 {
     const TimePoint now = Clock::now();
     const RouteDecision decision = m_parts.m_router.lock()->route(facts(), {}, now);
-    const auto handler = [weak = weak_from_this()](const std::optional<KeyBinding> &binding,
+    const auto handler = [weak = weak_from_this()](const std::optional<Binding> &binding,
                                                    const Failure &failure) {
         if (const auto self = weak.lock()) {
             const Lock lock(self->m_mutex);
@@ -34,30 +34,31 @@
         }
     };
     if (decision.m_target) {
-        const KeyBinding proposal{decision.m_target->m_endpoint, decision.m_target->m_incarnation};
-        m_parts.m_keys.bind(facts().m_key, proposal, facts().m_deadline, handler);
+        const Binding proposal{decision.m_target->m_endpoint, decision.m_target->m_incarnation};
+        m_parts.m_keys.bind(facts().m_workspace.text(), facts().m_key, proposal, facts().m_deadline,
+                            handler);
         return;
     }
     // Nobody can take it as a new request, but it may have run before.
     const CallerError refusal{decision.m_refusal->m_kind, RunState::NotRun, "",
                               decision.m_refusal->m_comeBack, ""};
-    m_parts.m_keys.find(facts().m_key, facts().m_deadline,
-                        [weak = weak_from_this(), refusal](const std::optional<KeyBinding> &binding,
-                                                           const Failure &) {
-                            const auto self = weak.lock();
-                            if (!self)
-                                return;
-                            const Lock lock(self->m_mutex);
-                            if (self->m_ended)
-                                return;
-                            if (binding)
-                                self->onBound(binding, {});
-                            else
-                                self->fail(refusal);
-                        });
+    m_parts.m_keys.find(
+        facts().m_key, facts().m_deadline,
+        [weak = weak_from_this(), refusal](const std::optional<Binding> &binding, const Failure &) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            const Lock lock(self->m_mutex);
+            if (self->m_ended)
+                return;
+            if (binding)
+                self->onBound(binding, {});
+            else
+                self->fail(refusal);
+        });
 }
 
-void RequestFlow::onBound(const std::optional<KeyBinding> &binding, const Failure &failure)
+void RequestFlow::onBound(const std::optional<Binding> &binding, const Failure &failure)
 {
     if (!binding) {
         fail({failure.m_kind, RunState::NotRun, failure.m_reason, {}, ""});
--- a/src/burdockhead/entry/requestflow.h
+++ b/src/burdockhead/entry/requestflow.h
@@ -3,7 +3,7 @@
 #include <burdockhead/entry/answerwriter.h>
 #include <burdockhead/entry/callerrequest.h>
 #include <burdockhead/entry/flowparts.h>
-#include <burdockhead/entry/keybinding.h>
+#include <burdockhead/idempotency/claim.h>
 #include <burdockhead/transport/frame.h>
 
 #include <functional>
@@ -64,7 +64,7 @@
 
     void startKeyed();
     void proposeBinding();
-    void onBound(const std::optional<KeyBinding> &binding, const Failure &failure);
+    void onBound(const std::optional<Binding> &binding, const Failure &failure);
     void deliverToBinding();
     void redeliverSoon();
     void keyedAttemptFailed(const CallerError &error);
@@ -89,7 +89,7 @@
     std::vector<Attempt> m_attempts;
     std::vector<EndpointName> m_tried;
     std::optional<AttemptId> m_winner; // The attempt whose answer is being written.
-    std::optional<KeyBinding> m_binding;
+    std::optional<Binding> m_binding;
     std::optional<TimePoint> m_hedgeAt;
     std::uint32_t m_attemptCount = 0;
     bool m_mayHaveRun = false; // Some attempt ended without word on whether it ran.
--- a/src/burdockhead/idempotency/claim.h
+++ b/src/burdockhead/idempotency/claim.h
@@ -16,7 +16,8 @@
     friend bool operator==(const Binding &, const Binding &) = default;
 };
 
-// A wish to bind a key. The first one written wins; later ones learn of it.
+// A wish to bind a key. The first one written wins; later ones learn of it. With an empty
+// endpoint it only asks: the answer is the key's binding, or none if nobody has bound it.
 struct Claim
 {
     std::string m_key; // Workspace and caller's key.
--- a/src/burdockhead/idempotency/claimshardwriter.cpp
+++ b/src/burdockhead/idempotency/claimshardwriter.cpp
@@ -12,6 +12,11 @@
 // Another entry that wrote once is likely to write again, and reads are the cheaper calls.
 constexpr std::uint32_t readsAfterConflict = 8;
 
+bool isLookUp(const PendingClaim &pending)
+{
+    return pending.m_claim.m_wanted.m_endpoint.empty();
+}
+
 } // namespace
 
 ClaimShardWriter::ClaimShardWriter(ObjectApi &api, const ClaimServiceLimits &limits,
@@ -38,9 +43,11 @@
         answerKnown(batch, wallMilliseconds, counters);
     if (batch.empty())
         return WriteResult::Applied;
-    if ((!m_known || m_readsFirst > 0) && !load(counters))
+    const bool mustRead = !m_known || m_readsFirst > 0 || std::ranges::any_of(batch, isLookUp);
+    if (mustRead && !load(counters))
         return WriteResult::Unknown;
     answerKnown(batch, wallMilliseconds, counters);
+    answerLookUps(batch);
     ClaimShard changed = *m_known;
     changed.expire(wallMilliseconds);
     bool hasNew = false;
@@ -59,6 +66,17 @@
     return result;
 }
 
+// What is still there was not found in the object as just read.
+void ClaimShardWriter::answerLookUps(std::vector<PendingClaim> &batch)
+{
+    std::erase_if(batch, [](const PendingClaim &pending) {
+        if (!isLookUp(pending))
+            return false;
+        pending.m_handler(std::nullopt, {ErrorKind::NoEndpoint, "the key is not bound"});
+        return true;
+    });
+}
+
 bool ClaimShardWriter::load(ClaimServiceCounters &counters)
 {
     ++counters.m_reads;
--- a/src/burdockhead/idempotency/claimshardwriter.h
+++ b/src/burdockhead/idempotency/claimshardwriter.h
@@ -23,6 +23,7 @@
 private:
     WriteResult attempt(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
                         ClaimServiceCounters &counters);
+    static void answerLookUps(std::vector<PendingClaim> &batch);
     bool load(ClaimServiceCounters &counters);
     void answerKnown(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
                      ClaimServiceCounters &counters);
--- a/src/burdockhead/idempotency/requestledger.cpp
+++ b/src/burdockhead/idempotency/requestledger.cpp
@@ -30,9 +30,7 @@
 LedgerDecision RequestLedger::dispatch(const LedgerRequest &request, TimePoint now)
 {
     expire(now);
-    if (request.m_boundTo && *request.m_boundTo != m_incarnation)
-        return {LedgerVerdict::StaleIncarnation, {}};
-    if (request.m_ticket && request.m_ticket->m_incarnation != m_incarnation)
+    if (isForOtherRun(request))
         return {LedgerVerdict::StaleIncarnation, {}};
     if (m_tombstones.contains(request.m_attempt))
         return {LedgerVerdict::RefusedTombstoned, {}};
@@ -126,6 +124,27 @@
     if (entry.m_fingerprint != request.m_fingerprint)
         return {LedgerVerdict::KeyReusedForOtherRequest, {}};
     attach(entry, request.m_attempt);
+    return decisionFor(entry);
+}
+
+LedgerDecision RequestLedger::lookUp(const LedgerRequest &request) const
+{
+    if (isForOtherRun(request))
+        return {LedgerVerdict::StaleIncarnation, {}};
+    const auto found = m_entries.find(entryKey(request));
+    if (found == m_entries.end())
+        return {LedgerVerdict::Run, {}};
+    return decisionFor(found->second);
+}
+
+bool RequestLedger::isForOtherRun(const LedgerRequest &request) const
+{
+    return (request.m_boundTo && *request.m_boundTo != m_incarnation)
+           || (request.m_ticket && request.m_ticket->m_incarnation != m_incarnation);
+}
+
+LedgerDecision RequestLedger::decisionFor(const Entry &entry)
+{
     switch (entry.m_state) {
     case State::Running:
         return {LedgerVerdict::AlreadyRunning, {}};
--- a/src/burdockhead/idempotency/requestledger.h
+++ b/src/burdockhead/idempotency/requestledger.h
@@ -27,6 +27,10 @@
     // An attempt arrives. Run is answered once for a key, until neverStarted() takes it back.
     LedgerDecision dispatch(const LedgerRequest &request, TimePoint now);
 
+    // What is known of the request's key, without taking it on: Replay, AlreadyRunning,
+    // OutcomeUnknown or StaleIncarnation; Run when the key is not known here.
+    LedgerDecision lookUp(const LedgerRequest &request) const;
+
     // The attempt's request, or one that it waits for, ran to its end with this answer.
     void completed(const AttemptId &attempt, const StoredAnswer &answer, TimePoint now);
 
@@ -71,6 +75,8 @@
     using Entries = std::unordered_map<std::string, Entry>;
 
     static std::string entryKey(const LedgerRequest &request);
+    static LedgerDecision decisionFor(const Entry &entry);
+    bool isForOtherRun(const LedgerRequest &request) const;
     LedgerDecision knownEntry(Entry &entry, const LedgerRequest &request);
     LedgerDecision newEntry(const std::string &key, const LedgerRequest &request);
     void attach(Entry &entry, const AttemptId &attempt);
--- a/src/burdockhead/transport/dispatchframe.h
+++ b/src/burdockhead/transport/dispatchframe.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <burdockhead/base/incarnation.h>
-#include <burdockhead/routing/requestfacts.h>
 #include <burdockhead/idempotency/attemptid.h>
+#include <burdockhead/routing/requestfacts.h>
 
 #include <string>
 
--- a/src/burdockhead/transport/headframe.h
+++ b/src/burdockhead/transport/headframe.h
@@ -6,6 +6,9 @@
 
 namespace burdockhead {
 
+// The status with which an agent answers a look-up of a request that is still running.
+constexpr int processingStatus = 102;
+
 // Agent to entry: the head of the endpoint's answer.
 struct HeadFrame
 {
