--- a/src/burdockhead/membership/membershipnode.cpp
+++ b/src/burdockhead/membership/membershipnode.cpp
@@ -74,31 +74,41 @@
     return entriesIn(m_options.m_self.m_dataCentre).size() == 1;
 }
 
-// An entry counts for its own data centre while it can vouch for it, or when no other entry
-// is left to ask.
+// An entry counts for its own data centre while it vouches for it, or when no other entry is
+// left to ask.
 void MembershipNode::hearOwnDataCentre(TimePoint now)
 {
     if (m_options.m_self.m_role != VmRole::Entry || !m_ready)
         return;
-    const bool alone = isAloneInDataCentre();
-    if (alone || (m_vouches && m_currency.isCurrent(now)))
-        m_currency.hearDataCentre(m_options.m_self.m_dataCentre,
-                                  {heldVersion(), now, !m_currency.isCurrent(now)});
+    const bool vouches = m_vouches && m_currency.isCurrent(now);
+    if (vouches || isAloneInDataCentre())
+        m_currency.hearDataCentre(m_options.m_self.m_dataCentre, {heldVersion(), now, !vouches});
+}
+
+// Evidence from before this process started or lapsed may rest on its own earlier word, and
+// versions may have been accepted without it since.
+bool MembershipNode::mayVouch(TimePoint now) const
+{
+    return isCurrent(now) && m_currency.latestClaim()
+           && m_currency.latestClaim()->m_asOf >= m_evidenceFloor;
 }
 
 // Brings what follows from the evidence and the time up to date.
 void MembershipNode::refresh(TimePoint now)
 {
-    if (!m_currency.isCurrent(now)) {
+    const bool current = m_currency.isCurrent(now);
+    if (m_evidenceFloor == TimePoint() || (m_wasCurrent && !current))
+        m_evidenceFloor = now;
+    if (!current) {
         m_vouches = false;
         m_lapsedAt = now;
     }
     hearOwnDataCentre(now);
-    if (m_currency.isCurrent(now) && m_store.held()) {
+    m_wasCurrent = m_currency.isCurrent(now);
+    if (m_wasCurrent && m_store.held())
         m_ready = true;
-        if (m_options.m_self.m_role == VmRole::Entry && isAloneInDataCentre())
-            m_vouches = true;
-    }
+    if (m_options.m_self.m_role == VmRole::Entry && isAloneInDataCentre() && mayVouch(now))
+        m_vouches = true;
 }
 
 void MembershipNode::tick(TimePoint now, Random &random)
--- a/src/burdockhead/membership/membershipnode.h
+++ b/src/burdockhead/membership/membershipnode.h
@@ -105,6 +105,7 @@
     std::optional<ConfigurationTransfer> transferFor(std::uint64_t peerVersion) const;
     void refresh(TimePoint now);
     void hearOwnDataCentre(TimePoint now);
+    bool mayVouch(TimePoint now) const;
     bool isAloneInDataCentre();
     void announceHeld(TimePoint now);
     void ended(const OutgoingMessage &message, TimePoint now);
@@ -119,8 +120,10 @@
     ConfigurationStore m_store;
     Currency m_currency;
     bool m_ready = false;
-    bool m_vouches = false; // Has heard from its own data centre since it was last lapsed.
-    TimePoint m_lapsedAt;
+    bool m_vouches = false; // May speak for its data centre.
+    bool m_wasCurrent = false;
+    TimePoint m_evidenceFloor; // Start of this run, or of the last time of not being current.
+    TimePoint m_lapsedAt;      // When it was last seen not to be current.
     std::vector<DataCentreName> m_dataCentres;
     std::vector<DataCentreName> m_previousDataCentres;
     std::map<ProcessName, KnownVersion> m_knownVersions;
--- a/src/burdockhead/membership/membershipnodemessages.cpp
+++ b/src/burdockhead/membership/membershipnodemessages.cpp
@@ -228,7 +228,7 @@
         && m_options.m_self.m_role == VmRole::Entry)
         m_currency.hearDataCentre(peer.m_dataCentre,
                                   {response.m_heldVersion, message.m_askedAt, response.m_lapsed});
-    if (isOwnEntry(peer) && isCurrent(now) && message.m_askedAt > m_lapsedAt)
+    if (isOwnEntry(peer) && mayVouch(now) && message.m_askedAt > m_lapsedAt)
         m_vouches = true;
     compareTables(message, response, now);
 }
