--- a/src/burdockhead/entry/entryprocess.cpp
+++ b/src/burdockhead/entry/entryprocess.cpp
@@ -112,7 +112,7 @@
 
 void EntryProcess::applyConfiguration(const ConfigurationPointer &configuration)
 {
-    m_router.lock()->applyConfiguration(configuration, Clock::now());
+    m_router.lock()->applyConfiguration(configuration);
     m_events.record(EventType::ConfigurationApplied, {},
                     "version " + std::to_string(configuration->m_version));
 }
--- a/src/burdockhead/entry/keyedrequestflow.cpp
+++ b/src/burdockhead/entry/keyedrequestflow.cpp
@@ -43,7 +43,7 @@
     const CallerError refusal{decision.m_refusal->m_kind, RunState::NotRun, "",
                               decision.m_refusal->m_comeBack, ""};
     m_parts.m_keys.find(
-        facts().m_key, facts().m_deadline,
+        facts().m_workspace.text(), facts().m_key, facts().m_deadline,
         [weak = weak_from_this(), refusal](const std::optional<Binding> &binding, const Failure &) {
             const auto self = weak.lock();
             if (!self)
--- a/src/burdockhead/main.cpp
+++ b/src/burdockhead/main.cpp
@@ -1,7 +1,26 @@
-#include <cstdio>
+#include <burdockhead/agent/agentprocess.h>
+#include <burdockhead/entry/entryprocess.h>
+#include <burdockhead/settings/settingstext.h>
 
-int main()
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace burdockhead;
+
+int main(int argumentCount, char **arguments)
 {
-    std::puts("burdockhead " BURDOCKHEAD_VERSION);
-    return 0;
+    if (argumentCount != 3)
+        return 2;
+    std::ostringstream text;
+    text << std::ifstream(arguments[2]).rdbuf();
+    Diagnostics diagnostics;
+    if (std::string(arguments[1]) == "entry") {
+        if (const auto settings = parseEntrySettings(text.str(), arguments[2], diagnostics))
+            return runEntry(*settings);
+    } else if (const auto settings = parseAgentSettings(text.str(), arguments[2], diagnostics)) {
+        return runAgent(*settings);
+    }
+    std::cerr << toString(diagnostics);
+    return 3;
 }
