Serve requests from end to end as separate processes

Cause: the parts existed; nothing yet started a platform, engines, services, agents and entries together and sent a caller's request through them.

--- a/src/burdockhead/main.cpp
+++ b/src/burdockhead/main.cpp
@@ -13,7 +13,10 @@
     if (argumentCount != 3)
         return 2;
     std::ostringstream text;
-    text << std::ifstream(arguments[2]).rdbuf();
+    const std::string argument = arguments[2];
+    const std::string flag = "--settings=";
+    text << std::ifstream(argument.starts_with(flag) ? argument.substr(flag.size()) : argument)
+                .rdbuf();
     Diagnostics diagnostics;
     if (std::string(arguments[1]) == "entry") {
         if (const auto settings = parseEntrySettings(text.str(), arguments[2], diagnostics))
--- /dev/null
+++ b/tests/public/processes/childprocess.cpp
@@ -0,0 +1,80 @@
+#include "childprocess.h"
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace burdockhead {
+
+namespace {
+
+[[noreturn]] void runProgram(const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    // A test that is ended from outside must not leave processes behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    std::vector<char *> pointers;
+    for (const std::string &argument : arguments)
+        pointers.push_back(const_cast<char *>(argument.c_str()));
+    pointers.push_back(nullptr);
+    execv(pointers.front(), pointers.data());
+    _exit(127);
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile)
+{
+    m_pid = fork();
+    if (m_pid == 0)
+        runProgram(arguments, logFile);
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (m_pid > 0)
+        ::kill(m_pid, number);
+}
+
+void ChildProcess::kill()
+{
+    if (m_pid <= 0)
+        return;
+    signal(SIGKILL);
+    wait();
+}
+
+int ChildProcess::wait()
+{
+    if (m_pid <= 0)
+        return m_status;
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+    m_pid = -1;
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return m_status;
+}
+
+bool ChildProcess::running()
+{
+    if (m_pid <= 0)
+        return false;
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) == 0)
+        return true;
+    m_pid = -1;
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return false;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/public/processes/childprocess.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace burdockhead {
+
+// A program that a test started. Killed when the object goes.
+class ChildProcess
+{
+public:
+    // Starts the program with its output going to the log file.
+    ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile);
+    ~ChildProcess();
+    ChildProcess(const ChildProcess &) = delete;
+    ChildProcess &operator=(const ChildProcess &) = delete;
+
+    // Sends a signal if the process still runs.
+    void signal(int number) const;
+
+    // Kills it at once and waits for its end.
+    void kill();
+
+    // Waits for its end and gives its exit status; negative after a signal.
+    int wait();
+
+    bool running();
+
+private:
+    pid_t m_pid = -1;
+    int m_status = 0;
+};
+
+} // namespace burdockhead
