Measure replica choice, retries and data centre changes in virtual time

Deliberately no cluster simulator: no partitions, no admission at the entry, callers don't come back.

--- /dev/null
+++ b/bench/routing/fakereplica.cpp
@@ -0,0 +1,132 @@
+#include "fakereplica.h"
+
+#include <utility>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr double hitSeconds = 0.02;
+constexpr double missSeconds = 0.2;
+constexpr double stepSeconds = 0.02;
+constexpr double stepSecondsPerRequest = 0.0015;
+constexpr double coldFactor = 2;
+constexpr unsigned completionsToWarm = 24;
+constexpr std::size_t cachedPrefixes = 24;
+constexpr double serviceGain = 0.1;
+
+Duration seconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+FakeReplica::FakeReplica(EventQueue &events, CacheEvent cacheEvent)
+    : m_events(events)
+    , m_cacheEvent(std::move(cacheEvent))
+    , m_cache(cachedPrefixes)
+{}
+
+double FakeReplica::capacity()
+{
+    const double decode = meanTokens * (stepSeconds + stepSecondsPerRequest * warmLimit);
+    return warmLimit / ((hitSeconds + missSeconds) / 2 + decode);
+}
+
+void FakeReplica::offer(std::shared_ptr<FakeJob> job)
+{
+    if (m_stopped) {
+        m_events.after(m_detection,
+                       [job] { job->m_end(AttemptOutcome::Unreachable, LoadReport()); });
+        return;
+    }
+    if (m_failsAtOnce)
+        return job->m_end(AttemptOutcome::Failed, report());
+    if (m_running.size() < limit())
+        return run(job);
+    if (m_queue.size() >= queueLimit)
+        return job->m_end(AttemptOutcome::RefusedNotRun, report());
+    m_queue.push_back(std::move(job));
+}
+
+void FakeReplica::stop(Duration detection)
+{
+    ++m_epoch;
+    m_stopped = true;
+    m_detection = detection;
+    for (const auto &job : std::exchange(m_running, {}))
+        m_events.after(detection, [job] { job->m_end(AttemptOutcome::Unreachable, {}); });
+    for (const auto &job : std::exchange(m_queue, {}))
+        m_events.after(detection, [job] { job->m_end(AttemptOutcome::Unreachable, {}); });
+}
+
+void FakeReplica::start()
+{
+    m_stopped = false;
+    m_cold = true;
+    m_completedCold = 0;
+    m_cache.clear();
+}
+
+LoadReport FakeReplica::report() const
+{
+    return {static_cast<std::uint32_t>(m_running.size()),
+            static_cast<std::uint32_t>(m_queue.size()),
+            limit(),
+            static_cast<std::uint32_t>(m_serviceMicroseconds),
+            m_cold,
+            false};
+}
+
+void FakeReplica::run(const std::shared_ptr<FakeJob> &job)
+{
+    m_running.push_back(job);
+    const bool hit = lookUp(job->m_facts.m_prefixHash);
+    const double factor = m_slowness * (m_cold ? coldFactor : 1);
+    const double prefill = factor * (hit ? hitSeconds : missSeconds);
+    const double batch = static_cast<double>(m_running.size());
+    const double decode = factor * job->m_tokens * (stepSeconds + stepSecondsPerRequest * batch);
+    const unsigned epoch = m_epoch;
+    m_events.after(seconds(prefill), [this, job, hit, epoch] {
+        if (epoch == m_epoch)
+            job->m_firstChunk(hit);
+    });
+    const Duration total = seconds(prefill + decode);
+    m_events.after(total, [this, job, total, epoch] {
+        if (epoch == m_epoch)
+            finish(job, total);
+    });
+}
+
+void FakeReplica::finish(const std::shared_ptr<FakeJob> &job, Duration elapsed)
+{
+    const double microseconds = std::chrono::duration<double, std::micro>(elapsed).count();
+    m_serviceMicroseconds +=
+        (microseconds - m_serviceMicroseconds) * (m_serviceMicroseconds == 0 ? 1 : serviceGain);
+    m_running.remove(job);
+    if (m_cold && ++m_completedCold >= completionsToWarm)
+        m_cold = false;
+    while (!m_queue.empty() && m_running.size() < limit()) {
+        const auto next = m_queue.front();
+        m_queue.pop_front();
+        if (next->m_facts.m_deadline > m_events.now())
+            run(next);
+        else
+            next->m_end(AttemptOutcome::RefusedNotRun, report());
+    }
+    job->m_end(AttemptOutcome::Completed, report());
+}
+
+bool FakeReplica::lookUp(std::uint64_t prefix)
+{
+    if (prefix == 0 || m_cache.touch(prefix))
+        return true;
+    const auto evicted = m_cache.store(prefix);
+    m_cacheEvent(prefix, true);
+    if (evicted)
+        m_cacheEvent(*evicted, false);
+    return false;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/bench/routing/simulation.cpp
@@ -0,0 +1,301 @@
+#include "simulation.h"
+
+#include <algorithm>
+#include <string>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::size_t prefixCount = 400;
+constexpr std::chrono::microseconds sameDataCentreDelay{100};
+constexpr std::chrono::microseconds otherDataCentreDelay{1500};
+constexpr Milliseconds reportInterval{1000};
+constexpr Milliseconds cacheEventLag{500};
+constexpr double cacheEventLoss = 0.2;
+constexpr Milliseconds skewInterval{100};
+constexpr Seconds requestDeadline{5};
+constexpr Seconds configurationLag{1};
+constexpr Seconds drainTime{30};
+
+std::vector<double> zipfWeights()
+{
+    std::vector<double> weights;
+    for (std::size_t rank = 1; rank <= prefixCount; ++rank)
+        weights.push_back(1.0 / static_cast<double>(rank));
+    return weights;
+}
+
+DataCentreName dataCentreName(unsigned number)
+{
+    return DataCentreName("d" + std::to_string(number));
+}
+
+} // namespace
+
+// A request on its way.
+struct Simulation::Flight
+{
+    RequestFacts m_facts;
+    RequestRecord m_record;
+    unsigned m_entry = 0;
+    double m_tokens = 0;
+    std::vector<EndpointName> m_tried;
+};
+
+Simulation::Simulation(const SimulationOptions &options)
+    : m_options(options)
+    , m_random(options.m_seed)
+    , m_start(m_events.now())
+    , m_incarnations(options.m_replicas, 1)
+{
+    const std::vector<double> weights = zipfWeights();
+    m_prefixes = std::discrete_distribution<std::uint64_t>(weights.begin(), weights.end());
+    buildConfiguration();
+    for (unsigned number = 0; number < options.m_replicas; ++number)
+        m_replicas.push_back(std::make_unique<FakeReplica>(
+            m_events, [this, number](std::uint64_t prefix, bool stored) {
+                cacheEvent(number, prefix, stored);
+            }));
+    for (unsigned entry = 0; entry < options.m_entries; ++entry) {
+        RouterOptions router = options.m_router;
+        router.m_entries = options.m_entries;
+        router.m_ownDataCentre = dataCentreName(entry % dataCentres);
+        m_routers.emplace_back(router, Random(options.m_seed * 1000 + entry));
+        m_routers.back().applyConfiguration(std::make_shared<VersionedConfiguration>(
+            VersionedConfiguration{m_version, {}, m_configuration}));
+    }
+    for (unsigned number = 0; number < options.m_replicas; ++number)
+        announceEverywhere(number, ReplicaState::Alive, Duration(0));
+    scheduleReports();
+    scheduleSkew();
+    scheduleArrival();
+}
+
+void Simulation::run()
+{
+    m_events.runUntil(m_start + m_options.m_length + drainTime);
+}
+
+void Simulation::buildConfiguration()
+{
+    for (unsigned number = 0; number < dataCentres; ++number)
+        m_configuration.m_dataCentres.push_back({dataCentreName(number)});
+    m_configuration.m_kinds = {{KindName("clause"), true, 3, 5},
+                               {KindName("digest"), true, 1, 1},
+                               {KindName("payment"), false, 10, 9}};
+    m_configuration.m_workspaces = {{WorkspaceName("w")}};
+    EndpointGroup group;
+    group.m_name = GroupName("g");
+    group.m_model = ModelName("m");
+    group.m_kinds = {KindName("clause"), KindName("digest"), KindName("payment")};
+    group.m_coldLimit = FakeReplica::coldLimit;
+    group.m_warmLimit = FakeReplica::warmLimit;
+    group.m_queueLimit = FakeReplica::queueLimit;
+    m_configuration.m_groups = {group};
+    for (unsigned number = 0; number < m_options.m_replicas; ++number) {
+        Endpoint endpoint;
+        endpoint.m_name = endpointName(number);
+        endpoint.m_group = group.m_name;
+        endpoint.m_dataCentre = dataCentreName(number % dataCentres);
+        m_configuration.m_endpoints.push_back(endpoint);
+    }
+    std::sort(
+        m_configuration.m_endpoints.begin(), m_configuration.m_endpoints.end(),
+        [](const Endpoint &left, const Endpoint &right) { return left.m_name < right.m_name; });
+    m_version = 1;
+}
+
+void Simulation::stopReplica(unsigned number, Duration detection, Duration lag)
+{
+    m_replicas[number]->stop(detection);
+    announceEverywhere(number, ReplicaState::Dead, lag);
+}
+
+void Simulation::startReplica(unsigned number, Duration lag)
+{
+    m_replicas[number]->start();
+    ++m_incarnations[number];
+    announceEverywhere(number, ReplicaState::Alive, lag);
+}
+
+void Simulation::setTakenOut(unsigned dataCentre, bool takenOut)
+{
+    m_configuration.m_dataCentres[dataCentre].m_takenOut = takenOut;
+    const auto version = std::make_shared<VersionedConfiguration>(
+        VersionedConfiguration{++m_version, {}, m_configuration});
+    for (EntryRouter &router : m_routers) {
+        std::uniform_int_distribution<Duration::rep> lag(0, Duration(configurationLag).count());
+        m_events.after(Duration(lag(m_random)),
+                       [&router, version] { router.applyConfiguration(version); });
+    }
+}
+
+Measurements Simulation::between(unsigned from, unsigned to) const
+{
+    return m_measurements.between(m_start + Seconds(from), m_start + Seconds(to));
+}
+
+void Simulation::announceEverywhere(unsigned number, ReplicaState state, Duration lag)
+{
+    const ReplicaAnnouncement announcement{endpointName(number),
+                                           dataCentreName(number % dataCentres),
+                                           {"127.0.0.1", static_cast<std::uint16_t>(number + 1)},
+                                           {m_incarnations[number]},
+                                           state};
+    for (EntryRouter &router : m_routers)
+        m_events.after(
+            lag, [this, &router, announcement] { router.announce(announcement, m_events.now()); });
+}
+
+void Simulation::scheduleArrival()
+{
+    const double rate = m_options.m_load * m_options.m_replicas * FakeReplica::capacity();
+    std::exponential_distribution<double> gap(rate);
+    m_events.after(
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(m_random))), [this] {
+            if (m_events.now() >= m_start + m_options.m_length)
+                return;
+            attempt(drawFlight());
+            scheduleArrival();
+        });
+}
+
+void Simulation::scheduleReports()
+{
+    for (unsigned number = 0; number < m_options.m_replicas; ++number) {
+        if (m_replicas[number]->isStopped())
+            continue;
+        const LoadReport report = m_replicas[number]->report();
+        const Incarnation incarnation{m_incarnations[number]};
+        for (unsigned entry = 0; entry < m_options.m_entries; ++entry)
+            m_events.after(delay(entry, number), [this, entry, number, report, incarnation] {
+                m_routers[entry].noteLoad(endpointName(number), report, m_events.now(),
+                                          incarnation);
+            });
+    }
+    if (m_events.now() < m_start + m_options.m_length)
+        m_events.after(reportInterval, [this] { scheduleReports(); });
+}
+
+void Simulation::scheduleSkew()
+{
+    double sum = 0;
+    double highest = 0;
+    for (const auto &replica : m_replicas) {
+        const auto load = static_cast<double>(replica->outstanding());
+        sum += load;
+        highest = std::max(highest, load);
+    }
+    if (sum > 0)
+        m_measurements.addSkew(highest * m_options.m_replicas / sum);
+    if (m_events.now() < m_start + m_options.m_length)
+        m_events.after(skewInterval, [this] { scheduleSkew(); });
+}
+
+Simulation::FlightPointer Simulation::drawFlight()
+{
+    constexpr std::uint64_t spread = 0x9E3779B97F4A7C15;
+    auto flight = std::make_shared<Flight>();
+    std::uniform_int_distribution<unsigned> percent(0, 99);
+    const unsigned dice = m_options.m_kinds ? percent(m_random) : 99;
+    const char *kind = dice < 10 ? "payment" : dice < 30 ? "clause" : "digest";
+    const RequestKind &configured = *m_configuration.kind(KindName(kind));
+    RequestFacts &facts = flight->m_facts;
+    facts.m_id = RequestId::draw(m_random);
+    facts.m_workspace = WorkspaceName("w");
+    facts.m_kind = configured.m_name;
+    facts.m_model = ModelName("m");
+    facts.m_prefixHash = (m_prefixes(m_random) + 1) * spread;
+    facts.m_priority = configured.m_priority;
+    facts.m_repeatable = configured.m_repeatable;
+    facts.m_deadline = m_events.now() + requestDeadline;
+    flight->m_entry = std::uniform_int_distribution<unsigned>(0, m_options.m_entries - 1)(m_random);
+    flight->m_tokens =
+        1 + std::exponential_distribution<double>(1.0 / (FakeReplica::meanTokens - 1))(m_random);
+    flight->m_record.m_arrival = m_events.now();
+    flight->m_record.m_weight = configured.m_weight;
+    return flight;
+}
+
+void Simulation::attempt(const FlightPointer &flight)
+{
+    EntryRouter &router = m_routers[flight->m_entry];
+    const RouteDecision decision = router.route(flight->m_facts, flight->m_tried, m_events.now());
+    if (!decision.m_target)
+        return close(flight, false);
+    const RouteTarget target = *decision.m_target;
+    router.dispatched(target.m_endpoint, m_events.now());
+    if (m_options.m_router.m_retries.m_unlimited)
+        flight->m_tried.clear(); // Goes round for ever, but not to the same one twice in a row.
+    flight->m_tried.push_back(target.m_endpoint);
+    ++flight->m_record.m_attempts;
+    const unsigned number = target.m_link.m_port - 1U;
+    const Duration way = delay(flight->m_entry, number);
+    auto job = std::make_shared<FakeJob>();
+    job->m_facts = flight->m_facts;
+    job->m_tokens = flight->m_tokens;
+    job->m_firstChunk = [this, flight, way](bool hit) {
+        const Duration elapsed = m_events.now() + way - flight->m_record.m_arrival;
+        flight->m_record.m_firstChunkSeconds = std::chrono::duration<double>(elapsed).count();
+        flight->m_record.m_hit = hit;
+    };
+    job->m_end = [this, flight, target, way](AttemptOutcome outcome, const LoadReport &report) {
+        const bool heard = outcome != AttemptOutcome::Unreachable;
+        m_events.after(way, [this, flight, target, outcome,
+                             report = heard ? std::optional(report) : std::nullopt] {
+            ended(flight, target, outcome, report);
+        });
+    };
+    m_events.after(way, [this, number, job] { m_replicas[number]->offer(job); });
+}
+
+void Simulation::ended(const FlightPointer &flight, const RouteTarget &target,
+                       AttemptOutcome outcome, const std::optional<LoadReport> &report)
+{
+    EntryRouter &router = m_routers[flight->m_entry];
+    const TimePoint now = m_events.now();
+    router.answered(target.m_endpoint, outcome, report, now, target.m_incarnation);
+    if (outcome == AttemptOutcome::Completed)
+        return close(flight, true);
+    const bool refused = outcome == AttemptOutcome::RefusedNotRun;
+    const RetryDecision decision = router.retryAfter(
+        flight->m_facts, refused ? ErrorKind::Overloaded : ErrorKind::EndpointFailed,
+        refused ? RunState::NotRun : RunState::Unknown, flight->m_record.m_attempts, now);
+    if (!decision.m_retryAt)
+        return close(flight, false);
+    m_events.after(*decision.m_retryAt - now, [this, flight] { attempt(flight); });
+}
+
+void Simulation::close(const FlightPointer &flight, bool completed)
+{
+    RequestRecord &record = flight->m_record;
+    const Duration elapsed = m_events.now() - record.m_arrival;
+    record.m_completionSeconds = std::chrono::duration<double>(elapsed).count();
+    record.m_inTime = completed && m_events.now() <= flight->m_facts.m_deadline;
+    m_measurements.add(record);
+}
+
+void Simulation::cacheEvent(unsigned number, std::uint64_t prefix, bool stored)
+{
+    std::bernoulli_distribution lost(cacheEventLoss);
+    if (lost(m_random))
+        return;
+    m_events.after(cacheEventLag, [this, number, prefix, stored] {
+        for (EntryRouter &router : m_routers)
+            router.noteCacheEvent(endpointName(number), prefix, stored, m_events.now());
+    });
+}
+
+Duration Simulation::delay(unsigned entry, unsigned number) const
+{
+    const bool same = entry % dataCentres == number % dataCentres;
+    return same ? sameDataCentreDelay : otherDataCentreDelay;
+}
+
+EndpointName Simulation::endpointName(unsigned number)
+{
+    return EndpointName("e" + std::to_string(number));
+}
+
+} // namespace burdockhead
