Let every attempt cost the fake agent 65 microseconds

Cause: in the fake, refusing was free, so that 900 attempts a request by the naive unlimited retries looked harmless. The control link's measured round trip of 130 microseconds of processor time over both ends gives half of it to the agent.

--- a/bench/routing/fakereplica.cpp
+++ b/bench/routing/fakereplica.cpp
@@ -1,5 +1,6 @@
 #include "fakereplica.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhead {
@@ -13,6 +14,7 @@
 constexpr double coldFactor = 2;
 constexpr unsigned completionsToWarm = 24;
 constexpr std::size_t cachedPrefixes = 24;
+constexpr std::chrono::microseconds agentTime{65};
 constexpr double serviceGain = 0.1;
 
 Duration seconds(double value)
@@ -34,7 +36,15 @@
     return warmLimit / ((hitSeconds + missSeconds) / 2 + decode);
 }
 
-void FakeReplica::offer(std::shared_ptr<FakeJob> job)
+void FakeReplica::offer(const std::shared_ptr<FakeJob> &job)
+{
+    // The agent handles attempts one after the other, refused ones too.
+    const TimePoint begin = std::max(m_agentFreeAt, m_events.now());
+    m_agentFreeAt = begin + agentTime;
+    m_events.after(m_agentFreeAt - m_events.now(), [this, job] { handle(job); });
+}
+
+void FakeReplica::handle(const std::shared_ptr<FakeJob> &job)
 {
     if (m_stopped) {
         m_events.after(m_detection,
@@ -47,7 +57,7 @@
         return run(job);
     if (m_queue.size() >= queueLimit)
         return job->m_end(AttemptOutcome::RefusedNotRun, report());
-    m_queue.push_back(std::move(job));
+    m_queue.push_back(job);
 }
 
 void FakeReplica::stop(Duration detection)
--- a/bench/routing/fakereplica.h
+++ b/bench/routing/fakereplica.h
@@ -32,7 +32,7 @@
     FakeReplica(EventQueue &events, CacheEvent cacheEvent);
 
     // Takes, queues or refuses a job. Its callbacks are called at this replica, without delay.
-    void offer(std::shared_ptr<FakeJob> job);
+    void offer(const std::shared_ptr<FakeJob> &job);
 
     // Loses everything. Jobs in hand end as unreachable after `detection`, and so do new ones
     // until the replica is started again.
@@ -57,6 +57,7 @@
     static double capacity();
 
 private:
+    void handle(const std::shared_ptr<FakeJob> &job);
     void run(const std::shared_ptr<FakeJob> &job);
     void finish(const std::shared_ptr<FakeJob> &job, Duration elapsed);
     bool lookUp(std::uint64_t prefix);
@@ -71,6 +72,7 @@
     bool m_cold = false;
     unsigned m_completedCold = 0;
     unsigned m_epoch = 0; // Counts stops; what was begun before a stop has no effect.
+    TimePoint m_agentFreeAt;
     Duration m_detection{0};
     double m_serviceMicroseconds = 0;
 };
