Take a replica for slow only when it is clearly slower than its like

Cause: the score multiplied load by each replica's own mean service time. That mean moves by chance with the length of what it happened to run, so entries that saw the same reports crowded on whichever replica looked fast.

--- a/src/burdockhead/routing/choicecontext.cpp
+++ b/src/burdockhead/routing/choicecontext.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double unknownServiceMicroseconds = 100000;
+constexpr double slowFactor = 1.5;
 constexpr double highestPriority = 9;
 constexpr double lowestPriorityQueueShare = 0.5;
 
@@ -121,12 +122,15 @@
     return outstanding(replica) >= room;
 }
 
+// Replicas differ by chance in what they happened to run; only one that is clearly slower
+// than its like counts as slow.
 double ChoiceContext::serviceMicroseconds(const Replica &replica) const
 {
-    if (replica.m_load.serviceMicroseconds() > 0)
-        return replica.m_load.serviceMicroseconds();
     const double mean = m_table.groupOf(replica).m_meanServiceMicroseconds;
-    return mean > 0 ? mean : unknownServiceMicroseconds;
+    if (mean <= 0)
+        return unknownServiceMicroseconds;
+    const double own = replica.m_load.serviceMicroseconds();
+    return own > mean * slowFactor ? own : mean;
 }
 
 // In shares of a request's time. The prefix's home counts for half a hit: the entries meet
