Prove the cold start limit and the fair shares

Cause: an endpoint that turns cold at any moment must never receive more than it carries, also between the turn and its first sign.

Ruled out: cancelling on a failed probe, which under overload would throw away the work of an endpoint that is only slow; holding back a probe after a failed one, since the limit is then the cold limit and no probe is wanted.

--- a/src/burdockhead/admission/admissioncontroller.cpp
+++ b/src/burdockhead/admission/admissioncontroller.cpp
@@ -43,7 +43,7 @@
     if (!makeRoomFor(request, now, decision.m_actions))
         return refused(m_coldStart.cold() ? ErrorKind::EndpointCold : ErrorKind::Overloaded, now);
     // With nothing running an estimate that has become too long could never be corrected.
-    const TimePoint latestStart = m_running.empty() ? facts.m_deadline : request.m_latestStart;
+    const TimePoint latestStart = m_running.size() == 0 ? facts.m_deadline : request.m_latestStart;
     m_queue->push(request);
     m_queued[request.m_id] = m_latestStarts.emplace(latestStart, request.m_id);
     pump(now, decision.m_actions);
@@ -62,15 +62,13 @@
                                                            TimePoint now)
 {
     std::vector<AdmissionAction> actions;
-    const auto found = m_running.find(id);
-    if (found == m_running.end())
+    const auto ended = m_running.remove(id);
+    if (!ended)
         return actions;
-    const Running running = found->second;
-    m_running.erase(found);
     m_window.confirmed(id);
     if (end == RunEnd::Completed) {
-        m_serviceTimes.add(running.m_kind, now - running.m_startedAt);
-        m_coldStart.completed(running.m_epoch, now);
+        m_serviceTimes.add(ended->m_kind, now - ended->m_startedAt);
+        m_coldStart.completed(ended->m_epoch, now);
     }
     pump(now, actions);
     return actions;
@@ -178,7 +176,7 @@
     if (deadline <= now)
         return ErrorKind::DeadlineTooShort;
     const std::size_t ahead = m_queue->aheadOf(request);
-    if (!m_running.empty() && now + waitBehind(ahead) > request.m_latestStart)
+    if (!m_running.size() == 0 && now + waitBehind(ahead) > request.m_latestStart)
         return ErrorKind::DeadlineTooShort;
     return std::nullopt;
 }
@@ -221,32 +219,32 @@
     return {AdmissionActionType::Refuse, id, kind, comeBack(now), 0};
 }
 
-void AdmissionController::start(const QueuedRequest &request, TimePoint now)
-{
-    m_running[request.m_id] = {request.m_kind,      request.m_repeatable, false,
-                               m_coldStart.epoch(), ++m_startOrder,       now};
-    m_window.started(request.m_id);
-}
-
 // Starts what may start, and asks for a probe when only unconfirmed requests hold it up.
 void AdmissionController::pump(TimePoint now, std::vector<AdmissionAction> &actions)
 {
     expire(now, actions);
     while (m_running.size() < m_coldStart.limit() && m_queue->size() > 0) {
-        if (!m_window.mayStart(m_coldStart.coldLimit())) {
-            if (!m_window.probeOutstanding()) {
-                m_probeDeadline = now + m_limits.m_probeTimeout;
-                actions.push_back({AdmissionActionType::Probe, {}, {}, {}, m_window.probeAsked()});
-            }
+        if (!m_window.mayStart(m_limits.m_unconfirmedLimit.value_or(m_limits.m_coldLimit))) {
+            askForProbe(now, actions);
             return;
         }
         const auto request = m_queue->pop();
         forgetQueued(request->m_id);
-        start(*request, now);
+        m_running.add(
+            {request->m_id, request->m_kind, request->m_repeatable, m_coldStart.epoch(), now});
+        m_window.started(request->m_id);
         actions.push_back({AdmissionActionType::Start, request->m_id, {}, {}, 0});
     }
 }
 
+void AdmissionController::askForProbe(TimePoint now, std::vector<AdmissionAction> &actions)
+{
+    if (m_window.probeOutstanding())
+        return;
+    m_probeDeadline = now + m_limits.m_probeTimeout;
+    actions.push_back({AdmissionActionType::Probe, {}, {}, {}, m_window.probeAsked()});
+}
+
 void AdmissionController::expire(TimePoint now, std::vector<AdmissionAction> &actions)
 {
     if (!m_queue->bounded())
@@ -261,22 +259,8 @@
 
 void AdmissionController::cancelBeyondLimit(std::vector<AdmissionAction> &actions)
 {
-    std::vector<std::pair<std::uint64_t, RequestId>> movable;
-    std::size_t staying = m_running.size();
-    for (const auto &[id, running] : m_running) {
-        if (running.m_cancelling)
-            --staying;
-        else if (running.m_repeatable)
-            movable.emplace_back(running.m_order, id);
-    }
-    std::ranges::sort(movable, std::greater<>(), &std::pair<std::uint64_t, RequestId>::first);
-    for (const auto &[order, id] : movable) {
-        if (staying <= m_coldStart.limit())
-            return;
-        m_running.at(id).m_cancelling = true;
+    for (const RequestId &id : m_running.cancelBeyond(m_coldStart.limit()))
         actions.push_back({AdmissionActionType::Cancel, id, ErrorKind::EndpointCold, {}, 0});
-        --staying;
-    }
 }
 
 Duration AdmissionController::waitBehind(std::size_t ahead) const
--- a/src/burdockhead/admission/admissioncontroller.h
+++ b/src/burdockhead/admission/admissioncontroller.h
@@ -7,6 +7,7 @@
 #include <burdockhead/admission/loadreport.h>
 #include <burdockhead/admission/requestqueue.h>
 #include <burdockhead/admission/runend.h>
+#include <burdockhead/admission/runningrequests.h>
 #include <burdockhead/admission/servicetimes.h>
 #include <burdockhead/admission/warmthwindow.h>
 #include <burdockhead/routing/requestfacts.h>
@@ -63,7 +64,7 @@
     std::vector<AdmissionAction> startLeaving(TimePoint now);
 
     // True when leaving and nothing runs any more.
-    bool drained() const { return m_leaving && m_running.empty(); }
+    bool drained() const { return m_leaving && m_running.size() == 0; }
 
     LoadReport report() const;
 
@@ -73,16 +74,6 @@
 private:
     using Deadlines = std::multimap<TimePoint, RequestId>;
 
-    struct Running
-    {
-        KindName m_kind;
-        bool m_repeatable = true;
-        bool m_cancelling = false;
-        std::uint64_t m_epoch = 0;
-        std::uint64_t m_order = 0;
-        TimePoint m_startedAt;
-    };
-
     std::optional<ErrorKind> refusalFor(const QueuedRequest &request, TimePoint deadline,
                                         TimePoint now) const;
     bool forgetQueued(const RequestId &id);
@@ -90,8 +81,8 @@
                      std::vector<AdmissionAction> &actions);
     AdmissionDecision refused(ErrorKind kind, TimePoint now);
     AdmissionAction refuse(const RequestId &id, ErrorKind kind, TimePoint now);
-    void start(const QueuedRequest &request, TimePoint now);
     void pump(TimePoint now, std::vector<AdmissionAction> &actions);
+    void askForProbe(TimePoint now, std::vector<AdmissionAction> &actions);
     void expire(TimePoint now, std::vector<AdmissionAction> &actions);
     void cancelBeyondLimit(std::vector<AdmissionAction> &actions);
     Duration waitBehind(std::size_t ahead) const;
@@ -101,13 +92,12 @@
     std::unique_ptr<RequestQueue> m_queue;
     Deadlines m_latestStarts; // Of the queued requests.
     std::unordered_map<RequestId, Deadlines::iterator> m_queued;
-    std::unordered_map<RequestId, Running> m_running;
+    RunningRequests m_running;
     ColdStartLimiter m_coldStart;
     WarmthWindow m_window;
     ServiceTimes m_serviceTimes;
     ComeBackSchedule m_comeBack;
     TimePoint m_probeDeadline;
-    std::uint64_t m_startOrder = 0;
     bool m_leaving = false;
 };
 
--- a/src/burdockhead/admission/admissionlimits.h
+++ b/src/burdockhead/admission/admissionlimits.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace burdockhead {
 
@@ -16,6 +17,10 @@
     Milliseconds m_longestComeBack{30000}; // A refused caller is asked back at most this late.
     Milliseconds m_probeTimeout{500};      // An unanswered probe counts as failed after this.
 
+    // Requests that may be sent before the endpoint is heard of again. None: the cold limit,
+    // more than which an endpoint that turned cold unnoticed can't carry.
+    std::optional<std::uint32_t> m_unconfirmedLimit;
+
     friend auto operator<=>(const AdmissionLimits &, const AdmissionLimits &) = default;
 };
 
--- a/src/burdockhead/admission/fairsharequeue.cpp
+++ b/src/burdockhead/admission/fairsharequeue.cpp
@@ -39,10 +39,12 @@
 void FairShareQueue::push(const QueuedRequest &request)
 {
     Flow &flow = flowOf(request.m_workspace);
-    if (flow.m_waiting.empty())
+    if (flow.m_waiting.empty()) {
         flow.m_start = std::max(flow.m_start, m_virtualTime);
-    else
+        flow.m_number = ++m_flowNumbers;
+    } else {
         delist(flow);
+    }
     const Order order{urgencyOf(request), ++m_arrivals};
     flow.m_waiting.emplace(order, request);
     m_place[request.m_id] = {&flow, order};
@@ -107,10 +109,8 @@
 FairShareQueue::Flow &FairShareQueue::flowOf(const WorkspaceName &workspace)
 {
     const auto [place, added] = m_flows.try_emplace(workspace);
-    if (added) {
+    if (added)
         place->second.m_share = shareOf(workspace);
-        place->second.m_number = ++m_flowNumbers;
-    }
     return place->second;
 }
 
--- a/src/burdockhead/admission/fairsharequeue.h
+++ b/src/burdockhead/admission/fairsharequeue.h
@@ -44,8 +44,8 @@
     struct Flow
     {
         std::uint32_t m_share = 1;
-        double m_start = 0; // Virtual time at which its next request starts.
-        std::uint64_t m_number = 0;
+        double m_start = 0;         // Virtual time at which its next request starts.
+        std::uint64_t m_number = 0; // Grows with each time that a flow begins to wait.
         std::map<Order, QueuedRequest> m_waiting;
     };
 
--- a/src/burdockhead/admission/warmthwindow.h
+++ b/src/burdockhead/admission/warmthwindow.h
@@ -17,7 +17,7 @@
 {
 public:
     // True while one more unconfirmed request is allowed.
-    bool mayStart(std::uint32_t coldLimit) const { return m_unconfirmed.size() < coldLimit; }
+    bool mayStart(std::uint32_t limit) const { return m_unconfirmed.size() < limit; }
 
     // The request is handed to the endpoint.
     void started(const RequestId &id);
--- /dev/null
+++ b/tests/internal/admission/test_coldstart.cpp
@@ -0,0 +1,55 @@
+#include "endpointworld.h"
+
+#include <property.h>
+#include <utility>
+
+using namespace burdockhead;
+
+namespace {
+
+using Steps = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+
+// Runs a world over drawn events; gives whether the promises held all the time.
+bool promisesHold(WithoutHold without)
+{
+    EndpointWorld world(without);
+    const auto event = rc::gen::inRange<std::uint32_t>(0, 16);
+    const auto choice = rc::gen::inRange<std::uint32_t>(0, 1024);
+    const auto steps = *rc::gen::container<Steps>(200, rc::gen::pair(event, choice));
+    for (const auto &[drawnEvent, drawnChoice] : steps)
+        world.step(drawnEvent, drawnChoice);
+    if (without != WithoutHold::Nothing)
+        return world.holds();
+    return world.holds() && world.recovers() && world.holds();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ColdStart)
+
+BOOST_AUTO_TEST_CASE(a_cold_endpoint_never_receives_more_than_it_carries_and_becomes_warm)
+{
+    checkProperty("cold start", [] { RC_ASSERT(promisesHold(WithoutHold::Nothing)); });
+}
+
+BOOST_AUTO_TEST_CASE(without_the_window_an_unnoticed_turn_overloads_the_endpoint)
+{
+    BOOST_TEST(!rc::check("no window", [] { RC_ASSERT(promisesHold(WithoutHold::Window)); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_signs_a_turn_overloads_the_endpoint)
+{
+    BOOST_TEST(!rc::check("no signs", [] { RC_ASSERT(promisesHold(WithoutHold::Signs)); }));
+}
+
+BOOST_AUTO_TEST_CASE(work_that_is_not_known_to_have_ended_must_count)
+{
+    BOOST_TEST(!rc::check("no counting", [] { RC_ASSERT(promisesHold(WithoutHold::Counting)); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_refusals_a_leaving_endpoint_receives_new_work)
+{
+    BOOST_TEST(!rc::check("no refusal", [] { RC_ASSERT(promisesHold(WithoutHold::Refusal)); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/admission/test_fairshare.cpp
@@ -0,0 +1,120 @@
+#include "naivefairshare.h"
+#include <burdockhead/admission/fairsharequeue.h>
+#include <burdockhead/admission/firstcomefirstserved.h>
+
+#include <map>
+#include <property.h>
+#include <utility>
+
+using namespace burdockhead;
+
+namespace {
+
+constexpr std::uint32_t workspaceCount = 4;
+
+WorkspaceName workspaceOf(std::uint32_t number)
+{
+    return WorkspaceName("w" + std::to_string(number));
+}
+
+QueuedRequest requestOf(std::uint64_t id, std::uint32_t choice)
+{
+    QueuedRequest request;
+    request.m_id = {0, id};
+    request.m_workspace = workspaceOf(choice % workspaceCount);
+    request.m_priority = choice / workspaceCount % 3;
+    return request;
+}
+
+// Does the same with both queues; gives whether they agree in everything.
+bool step(FairShareQueue &queue, NaiveFairShare &naive, std::uint64_t id, std::uint32_t event,
+          std::uint32_t choice)
+{
+    const QueuedRequest request = requestOf(id, choice);
+    if (queue.aheadOf(request) != naive.aheadOf(request)
+        || queue.victimFor(request) != naive.victimFor(request))
+        return false;
+    if (event < 4) {
+        queue.push(request);
+        naive.push(request);
+    } else if (event < 7) {
+        return queue.pop() == naive.pop();
+    } else if (event == 7) {
+        const RequestId other{0, id - choice % 8};
+        return queue.remove(other) == naive.remove(other);
+    } else if (choice % 8 == 0) {
+        const std::vector<Workspace> shares = {{workspaceOf(0), 1 + choice % 5},
+                                               {workspaceOf(1), 4}};
+        queue.setShares(shares);
+        naive.setShares(shares);
+    }
+    return queue.size() == naive.size();
+}
+
+// One heavy and one light workspace keep the queue busy; gives the light one's part of the
+// first hundred starts, in percent.
+int lightPart(RequestQueue &queue, std::uint32_t lightShare)
+{
+    queue.setShares({{workspaceOf(0), 1}, {workspaceOf(1), lightShare}});
+    std::uint64_t id = 0;
+    for (std::uint32_t count = 0; count < 200; ++count)
+        queue.push(requestOf(++id, 0));
+    for (std::uint32_t count = 0; count < 100; ++count)
+        queue.push(requestOf(++id, 1));
+    int light = 0;
+    for (int start = 0; start < 100; ++start)
+        light += queue.pop()->m_workspace == workspaceOf(1) ? 1 : 0;
+    return light;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FairShares)
+
+BOOST_AUTO_TEST_CASE(the_queue_agrees_with_one_that_looks_at_everything)
+{
+    checkProperty("fair share order", [] {
+        FairShareQueue queue;
+        NaiveFairShare naive;
+        std::uint64_t id = 0;
+        const auto event = rc::gen::inRange<std::uint32_t>(0, 9);
+        const auto choice = rc::gen::inRange<std::uint32_t>(0, 64);
+        const auto steps =
+            *rc::gen::container<std::vector<std::pair<std::uint32_t, std::uint32_t>>>(
+                100, rc::gen::pair(event, choice));
+        for (const auto &[drawnEvent, drawnChoice] : steps)
+            RC_ASSERT(step(queue, naive, ++id, drawnEvent, drawnChoice));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(workspaces_are_served_by_share_however_much_one_asks_for)
+{
+    FairShareQueue equal;
+    BOOST_TEST(lightPart(equal, 1) == 50);
+    FairShareQueue weighted;
+    BOOST_TEST(lightPart(weighted, 3) == 75);
+    FirstComeFirstServed line;
+    BOOST_TEST(lightPart(line, 1) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(state_is_kept_only_for_workspaces_that_are_waiting_or_ahead)
+{
+    FairShareQueue queue;
+    std::vector<Workspace> workspaces;
+    for (std::uint32_t number = 0; number < 15000; ++number)
+        workspaces.push_back({workspaceOf(number), 1});
+    queue.setShares(workspaces);
+    for (std::uint32_t number = 0; number < 15000; ++number) {
+        QueuedRequest request = requestOf(number, 0);
+        request.m_workspace = workspaceOf(number);
+        queue.push(request);
+        if (number >= 16)
+            queue.pop();
+    }
+    BOOST_TEST(queue.size() == 16U);
+    while (queue.pop()) {
+    }
+    BOOST_TEST(queue.flowCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
