--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -312,16 +312,17 @@
     std::vector<std::string> tokens;
     std::istringstream lines(body);
     std::string line;
-    bool whole = false;
     while (std::getline(lines, line)) {
+        if (line == "data: [DONE]")
+            return tokens;
         if (!line.starts_with("data: "))
             continue;
-        if (line == "data: [DONE]")
-            whole = true;
-        else
-            tokens.push_back(Json::parse(line.substr(6))["choices"][0]["delta"]["content"]);
+        const auto event = Json::parse(line.substr(6), nullptr, false);
+        if (!event.is_object() || !event.contains("choices"))
+            return {};
+        tokens.push_back(event["choices"][0]["delta"]["content"]);
     }
-    return whole ? tokens : std::vector<std::string>();
+    return {};
 }
 
 } // namespace burdockhead
