--- a/src/burdockhead/routing/chooseroptions.h
+++ b/src/burdockhead/routing/chooseroptions.h
@@ -13,7 +13,7 @@
     double m_adapterCost = 1.0;         // Loading an adapter, in mean request times.
     double m_errorCost = 4.0;           // A failed attempt, in mean request times.
     double m_suspectCost = 2.0;         // A suspected replica, in mean request times.
-    Milliseconds m_reportHalfLife{200}; // Age at which a report counts half.
+    Milliseconds m_reportHalfLife{100}; // Age at which a report counts half.
     Milliseconds m_fullLifetime{250};   // How long a report that says "full" holds.
 };
 
