--- a/bench/routing/datacentres.cpp
+++ b/bench/routing/datacentres.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <string>
 
 namespace burdockhead {
 
@@ -13,7 +14,6 @@
 constexpr unsigned returnAt = 40;
 constexpr unsigned runEnd = 60;
 constexpr unsigned settledAt = 10;
-constexpr double load = 0.6;
 constexpr Milliseconds detection{300};
 constexpr Milliseconds noDetection{1};
 constexpr Seconds membershipLag{5};
@@ -69,7 +69,7 @@
     Samples m_p95After;
 };
 
-Samplings sample(const Fault &fault, ChooserType chooser, bool naive, unsigned runs)
+Samplings sample(const Fault &fault, double load, ChooserType chooser, bool naive, unsigned runs)
 {
     Samplings samplings;
     for (unsigned seed = 1; seed <= runs; ++seed) {
@@ -93,11 +93,13 @@
     return samplings;
 }
 
-void measure(const char *scenario, const Fault &fault, unsigned runs, const ResultTable &table)
+void measure(const std::string &scenario, const Fault &fault, double load, unsigned runs,
+             const ResultTable &table)
 {
-    const std::vector<Samplings> all = {sample(fault, ChooserType::RoundRobin, true, runs),
-                                        sample(fault, ChooserType::PowerOfChoices, true, runs),
-                                        sample(fault, ChooserType::PowerOfChoices, false, runs)};
+    const std::vector<Samplings> all = {
+        sample(fault, load, ChooserType::RoundRobin, true, runs),
+        sample(fault, load, ChooserType::PowerOfChoices, true, runs),
+        sample(fault, load, ChooserType::PowerOfChoices, false, runs)};
     constexpr std::array names = {"weighted in time before, share",
                                   "weighted in time during, share",
                                   "weighted in time after, share"};
@@ -114,9 +116,12 @@
 void measureDataCentres(unsigned runs)
 {
     const ResultTable table({"naive, round robin", "naive, our chooser", "ours"});
-    measure("planned take-out, cold return", takeOut, runs, table);
-    measure("sudden loss, cold return", suddenLoss, runs, table);
-    measure("a third turns cold at once", coldAtOnce, runs, table);
+    for (const double load : {0.6, 0.8}) {
+        const std::string suffix = load < 0.7 ? ", 60 % load" : ", 80 % load";
+        measure("planned take-out, cold return" + suffix, takeOut, load, runs, table);
+        measure("sudden loss, cold return" + suffix, suddenLoss, load, runs, table);
+        measure("a third turns cold at once" + suffix, coldAtOnce, load, runs, table);
+    }
 }
 
 } // namespace burdockhead
