Let refused callers come back when they were told to

Cause: refused requests were lost in the fake, while the naive router's endless retries stood in for a queue, so a refusal with a time to come back was never credited with the return.

--- a/bench/routing/simulation.cpp
+++ b/bench/routing/simulation.cpp
@@ -15,6 +15,8 @@
 constexpr double cacheEventLoss = 0.2;
 constexpr Milliseconds skewInterval{100};
 constexpr Seconds requestDeadline{5};
+constexpr double comeBackLowest = 0.5; // Seconds.
+constexpr double comeBackHighest = 3;
 constexpr Seconds configurationLag{1};
 constexpr Seconds drainTime{30};
 
@@ -223,7 +225,7 @@
     EntryRouter &router = m_routers[flight->m_entry];
     const RouteDecision decision = router.route(flight->m_facts, flight->m_tried, m_events.now());
     if (!decision.m_target)
-        return close(flight, false);
+        return comeBack(flight, decision.m_refusal->m_comeBack);
     const RouteTarget target = *decision.m_target;
     router.dispatched(target.m_endpoint, m_events.now());
     if (m_options.m_router.m_retries.m_unlimited)
@@ -262,11 +264,25 @@
     const RetryDecision decision = router.retryAfter(
         flight->m_facts, refused ? ErrorKind::Overloaded : ErrorKind::EndpointFailed,
         refused ? RunState::NotRun : RunState::Unknown, flight->m_record.m_attempts, now);
+    if (!decision.m_retryAt && refused) {
+        std::uniform_real_distribution<double> spread(comeBackLowest, comeBackHighest);
+        const std::chrono::duration<double> wait(spread(m_random));
+        return comeBack(flight, now + std::chrono::duration_cast<Duration>(wait));
+    }
     if (!decision.m_retryAt)
         return close(flight, false);
     m_events.after(*decision.m_retryAt - now, [this, flight] { attempt(flight); });
 }
 
+// A caller told to come back does so if that is before its deadline.
+void Simulation::comeBack(const FlightPointer &flight, TimePoint at)
+{
+    if (at >= flight->m_facts.m_deadline)
+        return close(flight, false);
+    flight->m_tried.clear();
+    m_events.after(at - m_events.now(), [this, flight] { attempt(flight); });
+}
+
 void Simulation::close(const FlightPointer &flight, bool completed)
 {
     RequestRecord &record = flight->m_record;
--- a/bench/routing/simulation.h
+++ b/bench/routing/simulation.h
@@ -64,6 +64,7 @@
     void attempt(const FlightPointer &flight);
     void ended(const FlightPointer &flight, const RouteTarget &target, AttemptOutcome outcome,
                const std::optional<LoadReport> &report);
+    void comeBack(const FlightPointer &flight, TimePoint at);
     void close(const FlightPointer &flight, bool completed);
     void cacheEvent(unsigned number, std::uint64_t prefix, bool stored);
     Duration delay(unsigned entry, unsigned number) const;
