Add the step gate: one expert map in every step

Each rank votes once on a change and in ascending order of change ids; the vote is stored at the engine, beside its step counter, before it is sent. A change goes live if every rank promised to stop before its step. Lock-step needs every rank at that step anyway, so waiting for all votes adds no way to block. The agent keeps nothing that must last.

--- /dev/null
+++ b/src/burdockhead/expertmap/gatecodec.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <burdockhead/codec/messagereader.h>
+#include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/expertmap/mapchange.h>
+
+namespace burdockhead {
+
+// Writes and reads the parts that records and messages share.
+void writeChangeId(MessageWriter &writer, const ChangeId &id);
+ChangeId readChangeId(MessageReader &reader);
+void writeMapChange(MessageWriter &writer, const MapChange &change);
+MapChange readMapChange(MessageReader &reader);
+
+} // namespace burdockhead
