Let a cold endpoint's agent queue what no other replica can take

Cause: the router refuses a replica in cold start once this entry's share of its cold limit is in flight. When every replica was beyond its share, which happens at each start and with a few entries after any failure, callers were refused with endpoint_cold although the agents' queues were empty. The share was also reckoned for 9 entries always.

Ruled out: the agent (its admission queued what reached it); the cold limit itself.

The router now chooses once more without the shares when nothing else is left, the agent stays the one that decides what reaches the endpoint, and the shares follow the number of entries that membership knows. The oracle of the shares runs with the last resort off, as strict as before; a new case holds that the last resort is used only without another.

--- a/src/burdockhead/entry/entryprocess.cpp
+++ b/src/burdockhead/entry/entryprocess.cpp
@@ -112,7 +112,10 @@
 
 void EntryProcess::applyConfiguration(const ConfigurationPointer &configuration)
 {
-    m_router.lock()->applyConfiguration(configuration);
+    const auto entries = static_cast<unsigned>(m_membership.entries().size());
+    const auto router = m_router.lock();
+    router->applyConfiguration(configuration);
+    router->setEntryCount(std::max(1U, entries));
     m_events.record(EventType::ConfigurationApplied, {},
                     "version " + std::to_string(configuration->m_version));
 }
--- a/src/burdockhead/routing/choicecontext.h
+++ b/src/burdockhead/routing/choicecontext.h
@@ -19,6 +19,10 @@
     GateVerdict verdict(ReplicaIndex index) const;
     bool permits(ReplicaIndex index) const { return verdict(index) == GateVerdict::Permitted; }
 
+    // From now on permits replicas that only the sharing out of cold capacity spoke against.
+    // They are a last resort: their agents let the request wait.
+    void permitColdReplicas() { m_permitCold = true; }
+
     // The time that the request would take at the replica, in microseconds, with penalties
     // for what makes a replica less wanted. Lower is better.
     double score(ReplicaIndex index) const;
@@ -61,6 +65,7 @@
     const std::vector<GroupIndex> &m_groups;
     std::vector<ReplicaIndex> m_tried;
     TimePoint m_now;
+    bool m_permitCold = false;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/routing/entryrouter.cpp
+++ b/src/burdockhead/routing/entryrouter.cpp
@@ -44,9 +44,12 @@
         return refuse(ErrorKind::DeadlineTooShort, now);
     if (alreadyTried.empty())
         m_retries.noteRequest(facts);
-    const ChoiceContext context(m_table, m_options, facts, *m_table.groupsFor(facts), alreadyTried,
-                                now);
-    const auto index = m_chooser->choose(context, m_random);
+    ChoiceContext context(m_table, m_options, facts, *m_table.groupsFor(facts), alreadyTried, now);
+    auto index = m_chooser->choose(context, m_random);
+    if (!index && m_options.m_coldLastResort) {
+        context.permitColdReplicas();
+        index = m_chooser->choose(context, m_random);
+    }
     if (!index)
         return refuse(refusalReason(context), now);
     const std::chrono::duration<double, std::micro> wait(context.expectedWait(*index));
--- a/tests/internal/routing/test_entryrouter.cpp
+++ b/tests/internal/routing/test_entryrouter.cpp
@@ -209,6 +209,7 @@
     RouterOptions options;
     options.m_entries = 1;
     options.m_chooser = chooser;
+    options.m_coldLastResort = false; // The oracle knows the shares alone.
     return options;
 }
 
@@ -356,4 +357,30 @@
     BOOST_TEST(next.m_target.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_cold_endpoint_beyond_its_share_is_chosen_only_when_there_is_no_other)
+{
+    const auto routerWith = [](bool lastResort) {
+        RouterOptions options = alone();
+        options.m_coldLastResort = lastResort;
+        EntryRouter router = readyRouter(options);
+        for (unsigned number = 0; number < endpoints; ++number) {
+            router.noteLoad(endpointName(number), {0, 0, 2, 1000, true, false}, startTime);
+            for (unsigned sent = 0; sent < 2; ++sent)
+                router.dispatched(endpointName(number), startTime);
+        }
+        return router;
+    };
+    EntryRouter strict = routerWith(false);
+    BOOST_TEST((refusalOf(strict, modelRequest()) == ErrorKind::EndpointCold));
+    EntryRouter router = routerWith(true);
+    BOOST_TEST(router.route(modelRequest(), {}, startTime).m_target.has_value());
+    router.answered(endpointName(2), AttemptOutcome::Completed, LoadReport{1, 0, 2, 1000, true},
+                    startTime);
+    for (int turn = 0; turn < 20; ++turn) {
+        const RouteDecision decision = router.route(modelRequest(), {}, startTime);
+        BOOST_REQUIRE(decision.m_target.has_value());
+        BOOST_TEST(decision.m_target->m_endpoint.text() == endpointName(2).text());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/processes/test_longanswer.cpp
+++ b/tests/public/processes/test_longanswer.cpp
@@ -12,7 +12,7 @@
 // after 60 s; this answer is longer than each of them.
 BOOST_AUTO_TEST_CASE(an_answer_longer_than_every_default_limit_of_the_libraries_arrives_whole)
 {
-    constexpr unsigned tokens = 40;
+    constexpr unsigned tokens = 640;
     DeploymentPlan plan;
     plan.m_dataCentres = {"dc-a"};
     plan.m_tokenMicroseconds = 100000;
