--- /dev/null
+++ b/bench/admission/decisioncostbench.cpp
@@ -0,0 +1,106 @@
+#include "statistics.h"
+#include "tables.h"
+#include <burdockhead/admission/admissioncontroller.h>
+#include <burdockhead/admission/firstcomefirstserved.h>
+#include <burdockhead/base/random.h>
+
+#include <fmt/format.h>
+
+#include <deque>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr int runs = 5;
+constexpr std::uint64_t requests = 200'000;
+constexpr Milliseconds patience{2000};
+constexpr std::chrono::microseconds arrivalInterval{12'500}; // Twice what the endpoint ends.
+
+std::vector<Workspace> workspacesOf(int count)
+{
+    std::vector<Workspace> workspaces;
+    workspaces.reserve(count);
+    for (int number = 0; number < count; ++number)
+        workspaces.push_back({WorkspaceName("workspace-" + std::to_string(number)),
+                              1 + static_cast<std::uint32_t>(number % 4)});
+    return workspaces;
+}
+
+// Offers twice what is ended; gives nanoseconds for an offered request with its end.
+double costOf(AdmissionController &controller, const std::vector<Workspace> &workspaces, int run)
+{
+    Random random(300 + run);
+    std::vector<std::uint32_t> order(requests);
+    for (std::uint32_t &workspace : order)
+        workspace = random() % workspaces.size();
+    std::deque<RequestId> running;
+    const auto note = [&running](const std::vector<AdmissionAction> &actions) {
+        for (const AdmissionAction &action : actions) {
+            if (action.m_type == AdmissionActionType::Start)
+                running.push_back(action.m_id);
+        }
+    };
+    RequestFacts facts;
+    TimePoint now;
+    const TimePoint begun = Clock::now();
+    for (std::uint64_t id = 1; id <= requests; ++id) {
+        now += arrivalInterval;
+        facts.m_id = {0, id};
+        facts.m_workspace = workspaces[order[id - 1]].m_name;
+        facts.m_deadline = now + patience;
+        const AdmissionDecision decision = controller.offer(facts, now);
+        if (decision.m_verdict == AdmissionVerdict::Run)
+            running.push_back(facts.m_id);
+        note(decision.m_actions);
+        if (id % 2 == 0 && !running.empty()) {
+            const RequestId ended = running.front();
+            running.pop_front();
+            note(controller.finished(ended, RunEnd::Completed, now));
+        }
+    }
+    const Duration spent = Clock::now() - begun;
+    return std::chrono::duration<double, std::nano>(spent).count() / requests;
+}
+
+AdmissionLimits limits()
+{
+    AdmissionLimits limits;
+    limits.m_coldLimit = 8;
+    limits.m_warmLimit = 8;
+    limits.m_queueLimit = 64;
+    return limits;
+}
+
+} // namespace
+
+void printDecisionCost()
+{
+    fmt::print("### Cost of a decision\n\n"
+               "An offered request with its end or refusal, at 200 % load, queue of 64; wall time, "
+               "median (least..greatest) of {} runs of {} requests, seeds 300 to {}.\n\n",
+               runs, requests, 300 + runs - 1);
+    fmt::print("| workspaces | first come, first served, ns | fair shares, ns | taking the shares "
+               "over once, microseconds |\n|---|---|---|---|\n");
+    for (const int count : {10, 15'000}) {
+        const std::vector<Workspace> workspaces = workspacesOf(count);
+        std::vector<double> naive;
+        std::vector<double> fair;
+        std::vector<double> shares;
+        for (int run = 0; run < runs; ++run) {
+            AdmissionController line(limits(), 1, std::make_unique<FirstComeFirstServed>());
+            naive.push_back(costOf(line, workspaces, run));
+            AdmissionController controller(limits(), 1);
+            const TimePoint begun = Clock::now();
+            controller.setShares(workspaces);
+            const Duration spent = Clock::now() - begun;
+            shares.push_back(std::chrono::duration<double, std::micro>(spent).count());
+            fair.push_back(costOf(controller, workspaces, run));
+        }
+        fmt::print("| {} | {} | {} | {} |\n", count, medianAndSpread(naive, 0),
+                   medianAndSpread(fair, 0), medianAndSpread(shares, 0));
+    }
+    fmt::print("\n");
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/bench/admission/overloadbench.cpp
@@ -0,0 +1,86 @@
+#include "simulation.h"
+#include "statistics.h"
+#include "tables.h"
+
+#include <fmt/format.h>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr int runs = 5;
+constexpr std::uint32_t warmLimit = 8;
+constexpr double meanService = 0.2;
+constexpr double capacity = warmLimit / meanService; // Requests a second.
+constexpr int lightWorkspaces = 9;
+constexpr double lightRate = 1;
+
+SimulationSettings settingsOf(bool naive, double load, int run)
+{
+    SimulationSettings settings;
+    settings.m_naive = naive;
+    settings.m_limits.m_coldLimit = 1;
+    settings.m_limits.m_warmLimit = warmLimit;
+    settings.m_limits.m_queueLimit = 32;
+    settings.m_meanService = meanService;
+    settings.m_lightWorkspaces = lightWorkspaces;
+    settings.m_lightRate = lightRate;
+    settings.m_heavyRate = load * capacity - lightWorkspaces * lightRate;
+    settings.m_seed = 100 + run;
+    return settings;
+}
+
+struct Measured
+{
+    std::vector<double> m_goodput; // In percent of the smaller of offer and capacity.
+    std::vector<double> m_worstLight;
+    std::vector<double> m_heavy;
+    std::vector<double> m_late;
+    std::vector<double> m_refusal;
+};
+
+Measured measure(bool naive, double load)
+{
+    Measured measured;
+    for (int run = 0; run < runs; ++run) {
+        const SimulationSettings settings = settingsOf(naive, load, run);
+        const SimulationResult result = Simulation(settings).run();
+        const double length = std::chrono::duration<double>(settings.m_length).count();
+        const double possible = std::min(load, 1.0) * capacity * length;
+        measured.m_goodput.push_back(100 * result.m_inTime / possible);
+        measured.m_worstLight.push_back(100 * result.m_worstLight);
+        measured.m_heavy.push_back(100 * result.m_heavy);
+        measured.m_late.push_back(100.0 * result.m_late / result.m_offered);
+        measured.m_refusal.push_back(1000 * quantile(result.m_refusalSeconds, 0.99));
+    }
+    return measured;
+}
+
+} // namespace
+
+void printOverload()
+{
+    fmt::print("### Overload of one endpoint\n\n"
+               "Virtual time; {} at a time, {} s mean service, deadline 2 s, one heavy workspace "
+               "and {} light ones of 1/s each, 120 s; median (least..greatest) of {} runs, seeds "
+               "100 to {}. In time: in percent of what was offered or of capacity, whichever is "
+               "smaller.\n\n",
+               warmLimit, meanService, lightWorkspaces, runs, 100 + runs - 1);
+    fmt::print("| offered | policy | in time, % | worst light workspace in time, % | heavy in "
+               "time, % | ended late, % of offered | arrival to refusal, 99 in 100, ms |\n"
+               "|---|---|---|---|---|---|---|\n");
+    for (const double load : {0.8, 1.0, 1.2, 2.0, 4.0}) {
+        for (const bool naive : {true, false}) {
+            const Measured measured = measure(naive, load);
+            fmt::print("| {:.0f} % | {} | {} | {} | {} | {} | {} |\n", 100 * load,
+                       naive ? "first come, first served" : "fair shares, early refusal",
+                       medianAndSpread(measured.m_goodput, 1),
+                       medianAndSpread(measured.m_worstLight, 1),
+                       medianAndSpread(measured.m_heavy, 1), medianAndSpread(measured.m_late, 1),
+                       naive ? "none" : medianAndSpread(measured.m_refusal, 0));
+        }
+    }
+    fmt::print("\n");
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/bench/admission/simulation.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <burdockhead/admission/admissioncontroller.h>
+#include <burdockhead/base/random.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <vector>
+
+namespace burdockhead {
+
+// One endpoint behind an admission controller, in virtual time.
+struct SimulationSettings
+{
+    AdmissionLimits m_limits;
+    bool m_naive = false;       // First come, first served, without limit.
+    double m_meanService = 0.2; // Seconds, exponentially distributed.
+    double m_heavyRate = 0;     // Requests a second of the one heavy workspace.
+    double m_lightRate = 0;     // The same of each light workspace.
+    int m_lightWorkspaces = 9;
+    Duration m_patience = Seconds(2); // From a request's arrival to its deadline.
+    Duration m_length = Seconds(120);
+    std::optional<Duration> m_turnAt; // When the endpoint restarts cold, unnoticed.
+    std::uint64_t m_seed = 1;
+};
+
+struct SimulationResult
+{
+    std::uint64_t m_offered = 0;
+    std::uint64_t m_inTime = 0;
+    std::uint64_t m_late = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_started = 0;
+    std::uint64_t m_probes = 0;
+    double m_worstLight = 1;                // Part in time of the worst light workspace.
+    double m_heavy = 0;                     // Part in time of the heavy workspace.
+    std::vector<double> m_refusalSeconds;   // From arrival to refusal.
+    std::vector<double> m_waitSeconds;      // From arrival to start.
+    std::vector<double> m_comeBackSeconds;  // From refusal to the time to come back.
+    double m_warmAfterSeconds = 0;          // From the turn to the warm limit.
+    std::uint32_t m_mostWhileUnnoticed = 0; // Received after the turn, before its first sign.
+};
+
+// Runs one endpoint with its callers from start to end.
+class Simulation
+{
+public:
+    explicit Simulation(const SimulationSettings &settings);
+
+    SimulationResult run();
+
+private:
+    enum class EventType {
+        Arrival,
+        Completion,
+        ProbeAnswer,
+        Turn,
+        Tick,
+    };
+
+    struct Event
+    {
+        TimePoint m_at;
+        EventType m_type = EventType::Arrival;
+        int m_workspace = 0;
+        RequestId m_id{};
+        std::uint64_t m_probe = 0;
+        std::uint64_t m_boot = 0;
+
+        friend bool operator>(const Event &left, const Event &right)
+        {
+            return left.m_at > right.m_at;
+        }
+    };
+
+    struct Caller
+    {
+        int m_workspace = 0;
+        TimePoint m_arrived;
+        TimePoint m_deadline;
+        std::uint64_t m_boot = 0;
+    };
+
+    Duration drawn(double meanSeconds);
+    double rateOf(int workspace) const;
+    void handle(const Event &event);
+    void arrive(int workspace);
+    void complete(const Event &event);
+    void turn();
+    void start(const RequestId &id);
+    void refuse(const RequestId &id, TimePoint comeBack);
+    void apply(const std::vector<AdmissionAction> &actions);
+    EndpointHealth health(std::uint64_t boot) const;
+
+    SimulationSettings m_settings;
+    AdmissionController m_controller;
+    Random m_random;
+    TimePoint m_now;
+    TimePoint m_end;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::unordered_map<RequestId, Caller> m_callers;
+    std::vector<std::uint64_t> m_offered;
+    std::vector<std::uint64_t> m_inTime;
+    std::uint64_t m_lastId = 0;
+    std::uint64_t m_boot = 1;
+    std::optional<TimePoint> m_turned;
+    bool m_noticed = false;
+    std::uint32_t m_sinceTurn = 0;
+    SimulationResult m_result;
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/idempotency/claimservice.cpp
+++ b/src/burdockhead/idempotency/claimservice.cpp
@@ -106,8 +106,8 @@
     failOverdue(shard.m_batch, now, m_counters);
     if (shard.m_batch.empty() || now < shard.m_notBefore)
         return;
-    shard.m_notBefore = now + m_limits.m_writeInterval;
     shard.m_writer.process(shard.m_batch, m_wallClock(), m_counters);
+    shard.m_notBefore = now + shard.m_writer.interval();
 }
 
 void ClaimService::Private::publishCounters()
--- a/src/burdockhead/idempotency/claimservice.h
+++ b/src/burdockhead/idempotency/claimservice.h
@@ -17,9 +17,9 @@
 struct ClaimServiceLimits
 {
     std::uint32_t m_shards = 4;
-    std::size_t m_queueLimit = 4096;   // Claims that may wait.
-    Milliseconds m_writeInterval{100}; // Between two batches of this entry for a shard.
-    Milliseconds m_callTimeout{1000};  // For one call of the platform.
+    std::size_t m_queueLimit = 4096;  // Claims that may wait.
+    Milliseconds m_writeInterval{50}; // Between two batches for a shard; more under conflicts.
+    Milliseconds m_callTimeout{1000}; // For one call of the platform.
     ClaimShardLimits m_shard;
 };
 
--- a/src/burdockhead/idempotency/claimshardwriter.cpp
+++ b/src/burdockhead/idempotency/claimshardwriter.cpp
@@ -8,6 +8,8 @@
 
 constexpr const char *claimKind = "claim";
 constexpr int mostTries = 4;
+constexpr std::uint32_t mostBackoff = 3;
+constexpr std::uint32_t undisturbedWrites = 8; // After which the interval is halved.
 
 // Another entry that wrote once is likely to write again, and reads are the cheaper calls.
 constexpr std::uint32_t readsAfterConflict = 8;
@@ -93,11 +95,17 @@
         m_version = answer.m_version;
         m_known = changed;
         m_readsFirst -= std::min<std::uint32_t>(m_readsFirst, 1);
+        if (++m_undisturbed >= undisturbedWrites) {
+            m_backoff -= std::min<std::uint32_t>(m_backoff, 1);
+            m_undisturbed = 0;
+        }
         return answer.m_result;
     }
     if (answer.m_result == WriteResult::Conflict) {
         ++counters.m_conflicts;
         m_readsFirst = readsAfterConflict;
+        m_backoff = std::min(m_backoff + 1, mostBackoff);
+        m_undisturbed = 0;
     }
     m_known.reset();
     return answer.m_result;
--- a/src/burdockhead/idempotency/claimshardwriter.h
+++ b/src/burdockhead/idempotency/claimshardwriter.h
@@ -20,6 +20,10 @@
     void process(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
                  ClaimServiceCounters &counters);
 
+    // How long to wait from one batch to the next: doubled a few times while other entries'
+    // writes come in between, so that all entries together stay within the platform's rates.
+    Duration interval() const { return m_limits.m_writeInterval * (1 << m_backoff); }
+
 private:
     WriteResult attempt(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
                         ClaimServiceCounters &counters);
@@ -32,6 +36,8 @@
     ClaimServiceLimits m_limits;
     std::string m_name;
     std::uint64_t m_version = 0;
+    std::uint32_t m_backoff = 0;       // Doublings of the interval.
+    std::uint32_t m_undisturbed = 0;   // Writes since the last conflict or change of the backoff.
     std::uint32_t m_readsFirst = 0;    // Writes to come that are preceded by a read.
     std::optional<ClaimShard> m_known; // As the platform holds it; none: read it first.
 };
--- a/tests/internal/admission/endpointworld.cpp
+++ b/tests/internal/admission/endpointworld.cpp
@@ -198,7 +198,10 @@
             cancel(action.m_id);
             break;
         case AdmissionActionType::Probe:
-            m_connecting.push_back({action.m_probe, {}});
+            if (m_without == WithoutHold::Order)
+                m_connecting.push_front({action.m_probe, {}});
+            else
+                m_connecting.push_back({action.m_probe, {}});
             break;
         }
     }
--- a/tests/internal/admission/endpointworld.h
+++ b/tests/internal/admission/endpointworld.h
@@ -16,6 +16,7 @@
     Window,   // Only signs hold the load down; nothing does before the first sign.
     Signs,    // The agent takes no notice of signs.
     Counting, // A cancelled request stops counting before it is known to have ended.
+    Order,    // A probe may overtake the requests that were started before it.
     Refusal,  // A leaving agent forgets to refuse.
 };
 
--- a/tests/internal/admission/test_coldstart.cpp
+++ b/tests/internal/admission/test_coldstart.cpp
@@ -47,6 +47,11 @@
     BOOST_TEST(!rc::check("no counting", [] { RC_ASSERT(promisesHold(WithoutHold::Counting)); }));
 }
 
+BOOST_AUTO_TEST_CASE(a_probe_must_not_overtake_the_requests_that_it_confirms)
+{
+    BOOST_TEST(!rc::check("no order", [] { RC_ASSERT(promisesHold(WithoutHold::Order)); }));
+}
+
 BOOST_AUTO_TEST_CASE(without_refusals_a_leaving_endpoint_receives_new_work)
 {
     BOOST_TEST(!rc::check("no refusal", [] { RC_ASSERT(promisesHold(WithoutHold::Refusal)); }));
