Keep an endpoint's cold limit until it reports that it is warm

Two causes were found. The limit doubled after as many completions as the limit: 6 completions raised it from 2 to 8, while the engine needs 8 to be warm. And when connections broke, the end of each request made room for the next before the sign of the cold start was taken in.

A probe's report is now read: an endpoint that says whether it is cold counts as cold from any sign until a later report, of the same boot id, that it is not. The sign is taken in before the end.

An endpoint that reports nothing is trusted by completions alone.

Also in this commit: process tests of data centres, planned stops and the configuration. They name seeds in every settings file; without one an agent that was restarted in an outage of the platform found nobody, as it must.

--- a/src/burdockhead/admission/coldstartlimiter.cpp
+++ b/src/burdockhead/admission/coldstartlimiter.cpp
@@ -20,19 +20,21 @@
 bool ColdStartLimiter::healthSeen(const EndpointHealth &health, TimePoint now)
 {
     const bool newBoot = m_bootId && *m_bootId != health.m_bootId;
-    const bool turnedCold = health.m_saysCold && !m_saysCold;
+    const bool turnedCold = health.m_saysCold.value_or(false) && !m_saysCold;
     m_bootId = health.m_bootId;
-    m_saysCold = health.m_saysCold;
-    if (!newBoot && !turnedCold)
-        return false;
-    sign(ColdSign::NewBootId, now);
-    return true;
+    m_reportsColdness = m_reportsColdness || health.m_saysCold.has_value();
+    const bool isSign = newBoot || turnedCold;
+    if (isSign)
+        sign(ColdSign::NewBootId, now);
+    m_saysCold = health.m_saysCold.value_or(m_saysCold);
+    return isSign;
 }
 
 void ColdStartLimiter::sign(ColdSign, TimePoint now)
 {
     m_limit = m_coldLimit;
     m_completedAtLimit = 0;
+    m_saysCold = m_reportsColdness;
     m_coldSince = now;
     ++m_epoch;
 }
--- a/src/burdockhead/admission/coldstartlimiter.h
+++ b/src/burdockhead/admission/coldstartlimiter.h
@@ -11,7 +11,8 @@
 
 // How many requests the endpoint is trusted to carry. The limit drops to the cold limit on
 // the first sign of a cold start and doubles each time that as many requests as the limit
-// have completed since.
+// have completed since. An endpoint that reports whether it is cold counts as cold from a
+// sign until its next report that it is not; completions alone never make it warm.
 class ColdStartLimiter
 {
 public:
@@ -52,6 +53,7 @@
     std::uint32_t m_completedAtLimit = 0;
     std::uint64_t m_epoch = 0;
     std::optional<std::string> m_bootId;
+    bool m_reportsColdness = false; // The endpoint says in some answers whether it is cold.
     bool m_saysCold = false;
     TimePoint m_coldSince;
 };
--- a/src/burdockhead/admission/endpointhealth.h
+++ b/src/burdockhead/admission/endpointhealth.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 namespace burdockhead {
@@ -8,7 +9,7 @@
 struct EndpointHealth
 {
     std::string m_bootId;    // Changes with each start; empty from endpoints that give none.
-    bool m_saysCold = false; // The endpoint itself says that it is in cold start.
+    std::optional<bool> m_saysCold; // Whether it is in cold start; none when it doesn't say.
 
     friend bool operator==(const EndpointHealth &, const EndpointHealth &) = default;
 };
--- a/src/burdockhead/agent/agentcorework.cpp
+++ b/src/burdockhead/agent/agentcorework.cpp
@@ -28,7 +28,7 @@
             }
             break;
         case AdmissionActionType::Cancel:
-            if (work && !work->m_cancelled) {
+            if (work && !work->m_cancelled && !work->m_ended) {
                 work->m_cancelled = true;
                 ++m_counters.m_cancelled;
                 refuseAll(*work, action.m_kind, RunState::Unknown, "moved", Clock::now());
@@ -129,11 +129,18 @@
     if (!work)
         return;
     const TimePoint now = Clock::now();
+    const bool timedOut = now >= work->m_request.m_facts.m_deadline;
+    work->m_ended = !outcome.m_cancelled;
+    // The sign comes first: what the end makes room for may be too much for a cold endpoint.
+    if (work->m_ended && !outcome.m_completed && !timedOut) {
+        ++m_counters.m_coldSigns;
+        perform(m_admission.coldSignSeen(ColdSign::ConnectionReset, now));
+    }
     if (outcome.m_completed && !work->m_cancelled)
         complete(*work, now);
     else
         failRunning(*work, outcome, now);
-    if (work->m_cancelled && !outcome.m_completed) {
+    if (!work->m_ended) {
         // It counts against the limit until the endpoint has surely noticed.
         m_pool.runAt(now + cancelSettle, [weak = weak_from_this(), id] {
             if (const auto self = weak.lock())
--- a/src/burdockhead/agent/agentwork.h
+++ b/src/burdockhead/agent/agentwork.h
@@ -29,6 +29,7 @@
     std::uint64_t m_length = 0; // Bytes of the body so far.
     std::string m_body;         // Kept for keyed requests only.
     bool m_cancelled = false;
+    bool m_ended = false; // At the endpoint.
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/agent/endpointclient.cpp
+++ b/src/burdockhead/agent/endpointclient.cpp
@@ -1,6 +1,8 @@
 #include <burdockhead/agent/endpointclient.h>
 #include <burdockhead/http/httprequest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <memory>
 
 namespace burdockhead {
@@ -8,8 +10,29 @@
 namespace {
 
 constexpr int firstErrorStatus = 400;
-// An endpoint in cold start may say so by this header with the value "yes".
-constexpr std::string_view coldHeader = "X-Cold-Start";
+
+// The answer to a probe as it comes in.
+struct ProbeAnswer
+{
+    std::optional<EndpointHealth> m_health;
+    std::string m_body;
+};
+
+std::string textOf(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+// Adds what the body says of cold starts. A report from before the present start tells
+// nothing of it, and the endpoint may have turned cold since.
+void readReport(const std::string &body, EndpointHealth &health)
+{
+    const auto report = nlohmann::json::parse(body, nullptr, false);
+    if (!report.is_object() || !report.contains("cold") || !report["cold"].is_boolean())
+        return;
+    const bool isOld = report.contains("boot_id") && textOf(report["boot_id"]) != health.m_bootId;
+    health.m_saysCold = isOld || report["cold"].get<bool>();
+}
 
 } // namespace
 
@@ -19,10 +42,9 @@
     , m_bootIdHeader(std::move(bootIdHeader))
 {}
 
-EndpointHealth EndpointClient::healthFrom(const std::vector<HttpHeader> &headers) const
+std::string EndpointClient::bootIdFrom(const std::vector<HttpHeader> &headers) const
 {
-    return {findHeader(headers, m_bootIdHeader).value_or(""),
-            findHeader(headers, coldHeader) == "yes"};
+    return findHeader(headers, m_bootIdHeader).value_or("");
 }
 
 std::uint64_t EndpointClient::start(const EndpointCall &call, EndpointCallHandlers handlers)
@@ -40,7 +62,8 @@
     HttpCallHandlers httpHandlers;
     httpHandlers.m_onHead = [this, onHead = std::move(handlers.m_onHead)](
                                 int status, const std::vector<HttpHeader> &headers) {
-        onHead(status, findHeader(headers, "Content-Type").value_or(""), healthFrom(headers));
+        onHead(status, findHeader(headers, "Content-Type").value_or(""),
+               {bootIdFrom(headers), std::nullopt});
     };
     httpHandlers.m_onData = std::move(handlers.m_onData);
     httpHandlers.m_onDone = std::move(handlers.m_onDone);
@@ -58,14 +81,17 @@
     HttpCall call;
     call.m_url = m_url + m_probePath;
     call.m_deadline = deadline;
-    const auto health = std::make_shared<std::optional<EndpointHealth>>();
+    const auto answer = std::make_shared<ProbeAnswer>();
     HttpCallHandlers handlers;
-    handlers.m_onHead = [this, health](int status, const std::vector<HttpHeader> &headers) {
+    handlers.m_onHead = [this, answer](int status, const std::vector<HttpHeader> &headers) {
         if (status < firstErrorStatus)
-            *health = healthFrom(headers);
+            answer->m_health = EndpointHealth{bootIdFrom(headers), std::nullopt};
     };
-    handlers.m_onDone = [health, handler = std::move(handler)](const HttpOutcome &outcome) {
-        handler(outcome.m_completed ? *health : std::nullopt);
+    handlers.m_onData = [answer](std::string_view data) { answer->m_body.append(data); };
+    handlers.m_onDone = [answer, handler = std::move(handler)](const HttpOutcome &outcome) {
+        if (answer->m_health)
+            readReport(answer->m_body, *answer->m_health);
+        handler(outcome.m_completed ? answer->m_health : std::nullopt);
     };
     m_http.start(std::move(call), std::move(handlers));
 }
--- a/src/burdockhead/agent/endpointclient.h
+++ b/src/burdockhead/agent/endpointclient.h
@@ -31,11 +31,13 @@
     // Closes the request's connection.
     void cancel(std::uint64_t id);
 
-    // Asks the endpoint how it is; none when it did not answer in time.
+    // Asks the endpoint how it is; none when it did not answer in time. The answer may be a
+    // JSON object with "cold" and "boot_id", which may lag: what it says counts only while
+    // its boot id is that of the answer's head.
     void probe(TimePoint deadline, std::function<void(std::optional<EndpointHealth>)> handler);
 
 private:
-    EndpointHealth healthFrom(const std::vector<HttpHeader> &headers) const;
+    std::string bootIdFrom(const std::vector<HttpHeader> &headers) const;
 
     std::string m_url;
     std::string m_probePath;
--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -43,6 +43,7 @@
         for (unsigned index = 0; index < m_plan.m_entriesPerDataCentre; ++index)
             addEntry("entry-" + dataCentre + "-" + std::to_string(index), dataCentre);
     }
+    addSeeds();
 }
 
 Deployment::~Deployment()
@@ -114,6 +115,18 @@
     writeSettings(name, text.str());
 }
 
+// Every process names the entries' control addresses, so that it can start in an outage.
+void Deployment::addSeeds()
+{
+    std::string seeds = "[seeds]\ncontrol = ";
+    for (const std::string &entry : names("entry-"))
+        seeds += (seeds.ends_with("= ") ? "" : ", ") + process(entry).m_control.toString();
+    for (const auto &[name, process] : m_processes) {
+        if (process.m_control.m_port != 0)
+            std::ofstream(m_folder + "/" + name, std::ios::app) << seeds << "\n";
+    }
+}
+
 void Deployment::writeSettings(const std::string &name, const std::string &text)
 {
     std::ofstream(m_folder + "/" + name) << text;
--- a/tests/public/processes/deployment.h
+++ b/tests/public/processes/deployment.h
@@ -81,6 +81,7 @@
     void addAgent(const std::string &endpoint, const SocketAddress &url,
                   const std::string &dataCentre);
     void addEntry(const std::string &name, const std::string &dataCentre);
+    void addSeeds();
     void writeSettings(const std::string &name, const std::string &text);
     std::string vmList() const;
     bool waitUntilServing();
--- /dev/null
+++ b/tests/public/processes/test_leavingprocesses.cpp
@@ -0,0 +1,111 @@
+#include "callerload.h"
+#include "waiting.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+using namespace burdockhead;
+
+namespace {
+
+// After this long, nothing new may reach what has been taken out or is leaving.
+constexpr Seconds graceTime{3};
+
+std::uint64_t workAfterMark(Deployment &deployment, const std::string &prefix)
+{
+    std::uint64_t work = 0;
+    for (const std::string &name : deployment.names(prefix))
+        work += deployment.page(name, "/stats").value("work_after_mark", std::uint64_t(0));
+    return work;
+}
+
+void checkAllWhole(const LoadTally &tally)
+{
+    BOOST_TEST(tally.m_whole > 0U);
+    BOOST_TEST(tally.m_wrong == 0U);
+    BOOST_TEST(tally.m_broken == 0U);
+    for (const auto &[kind, count] : tally.m_errors)
+        BOOST_TEST(count == 0U, kind << " " << count);
+}
+
+DeploymentPlan roomyPlan()
+{
+    DeploymentPlan plan;
+    plan.m_coldLimit = 4;
+    plan.m_warmLimit = 16;
+    return plan;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LeavingProcesses)
+
+BOOST_AUTO_TEST_CASE(a_data_centre_taken_out_gets_no_new_work_and_serves_again_when_brought_back)
+{
+    Deployment deployment(roomyPlan());
+    BOOST_REQUIRE(deployment.start());
+    CallerLoad load(deployment, deployment.names("entry-"), 9, 80);
+    BOOST_TEST(waitUntil([&] { return load.whole() >= 18; }));
+    BOOST_REQUIRE(deployment.setTakenOut("entry-dc-a-0", "dc-b", true));
+    std::this_thread::sleep_for(graceTime);
+    deployment.post("engine-dc-b-0", "/mark", {});
+    const std::uint64_t out = load.whole();
+    BOOST_TEST(waitUntil([&] { return load.whole() >= out + 60; }));
+    BOOST_TEST(workAfterMark(deployment, "engine-dc-b") == 0U);
+
+    const auto addresses =
+        deployment.call(deployment.process("entry-dc-a-0").m_main, "GET", "/v1/addresses");
+    BOOST_REQUIRE(addresses.has_value());
+    BOOST_TEST(addresses->m_body.find("dc-b") == std::string::npos);
+
+    BOOST_REQUIRE(deployment.setTakenOut("entry-dc-c-0", "dc-b", false));
+    BOOST_TEST(waitUntil([&] { return workAfterMark(deployment, "engine-dc-b") > 0; }));
+    checkAllWhole(load.stop());
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_of_an_agent_cuts_off_no_request_and_gets_no_new_work)
+{
+    Deployment deployment(roomyPlan());
+    BOOST_REQUIRE(deployment.start());
+    CallerLoad load(deployment, deployment.names("entry-"), 9, 200);
+    BOOST_TEST(waitUntil([&] { return load.whole() >= 18; }));
+    ChildProcess &agent = deployment.child("agent-engine-dc-a-0");
+    agent.signal(SIGTERM);
+    agent.signal(SIGTERM);
+    BOOST_TEST(waitUntil([&] { return !agent.running(); }));
+    BOOST_TEST(agent.wait() == 0);
+    const std::uint64_t stopped = load.whole();
+    BOOST_TEST(waitUntil([&] { return load.whole() >= stopped + 18; }));
+    const auto stats = deployment.page("engine-dc-a-0", "/stats");
+    BOOST_TEST(stats["cancelled"] == 0);
+    deployment.restart("agent-engine-dc-a-0");
+    deployment.post("engine-dc-a-0", "/mark", {});
+    BOOST_TEST(waitUntil([&] { return workAfterMark(deployment, "engine-dc-a") > 0; }));
+    checkAllWhole(load.stop());
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_of_an_entry_serves_callers_that_hold_an_older_address_answer)
+{
+    Deployment deployment(roomyPlan());
+    BOOST_REQUIRE(deployment.start());
+    CallerLoad load(deployment, {"entry-dc-a-0"}, 4, 200);
+    BOOST_TEST(waitUntil([&] { return load.whole() >= 8; }));
+    ChildProcess &entry = deployment.child("entry-dc-a-0");
+    entry.signal(SIGTERM);
+    const std::uint64_t asked = load.whole();
+    // Callers may go on for as long as their answer about addresses holds, 1 s here.
+    std::this_thread::sleep_for(Milliseconds(900));
+    checkAllWhole(load.stop());
+    BOOST_TEST(load.whole() > asked);
+    BOOST_TEST(waitUntil([&] {
+        const auto addresses =
+            deployment.call(deployment.process("entry-dc-b-0").m_main, "GET", "/v1/addresses");
+        const std::string own = deployment.process("entry-dc-a-0").m_main.toString();
+        return addresses && addresses->m_body.find(own) == std::string::npos;
+    }));
+    BOOST_TEST(waitUntil([&] { return !entry.running(); }));
+    BOOST_TEST(entry.wait() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/processes/test_wholeanswers.cpp
+++ b/tests/public/processes/test_wholeanswers.cpp
@@ -1,4 +1,5 @@
 #include "callerload.h"
+#include "waiting.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -18,13 +19,6 @@
     return total;
 }
 
-void waitUntil(const std::function<bool()> &condition)
-{
-    const TimePoint last = Clock::now() + Seconds(20);
-    while (!condition() && Clock::now() < last)
-        std::this_thread::sleep_for(Milliseconds(20));
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WholeAnswers)
