Refuse a request that could not be finished by its deadline

Cause: the entry refused only what could not begin before its deadline; what began and ended too late used up capacity for nothing.

--- a/src/burdockhead/routing/choicecontext.cpp
+++ b/src/burdockhead/routing/choicecontext.cpp
@@ -69,6 +69,13 @@
     return ahead / limit * serviceMicroseconds(replica);
 }
 
+double ChoiceContext::expectedCompletion(ReplicaIndex index) const
+{
+    const Replica &replica = m_table.replica(index);
+    const double known = m_table.groupOf(replica).m_meanServiceMicroseconds;
+    return known > 0 ? expectedWait(index) + serviceMicroseconds(replica) : 0;
+}
+
 double ChoiceContext::outstanding(const Replica &replica) const
 {
     const double mean = m_table.groupOf(replica).m_meanOutstanding;
--- a/src/burdockhead/routing/choicecontext.h
+++ b/src/burdockhead/routing/choicecontext.h
@@ -26,6 +26,9 @@
     // The part of that time before the request runs, in microseconds.
     double expectedWait(ReplicaIndex index) const;
 
+    // The time until the request would be finished, in microseconds.
+    double expectedCompletion(ReplicaIndex index) const;
+
     // Requests at the replica and its agent, estimated.
     double outstanding(const Replica &replica) const;
 
--- a/src/burdockhead/routing/entryrouter.cpp
+++ b/src/burdockhead/routing/entryrouter.cpp
@@ -49,8 +49,8 @@
     const auto index = m_chooser->choose(context, m_random);
     if (!index)
         return refuse(refusalReason(context), now);
-    const std::chrono::duration<double, std::micro> wait(context.expectedWait(*index));
-    if (m_options.m_gates && now + std::chrono::duration_cast<Duration>(wait) >= facts.m_deadline)
+    const std::chrono::duration<double, std::micro> needed(context.expectedCompletion(*index));
+    if (m_options.m_gates && now + std::chrono::duration_cast<Duration>(needed) >= facts.m_deadline)
         return refuse(ErrorKind::DeadlineTooShort, now);
     return accept(facts, *index);
 }
