Let a cached prefix count for more the more crowded the group is

Cause: in an overload, all of the queue's length went against a holder of the prefix and only the request's own saving for it; hits fell, and with them the capacity. A miss also holds up every request that waits behind it.

--- a/src/burdockhead/routing/choicecontext.cpp
+++ b/src/burdockhead/routing/choicecontext.cpp
@@ -140,14 +140,17 @@
     return own > mean * slowFactor ? own : mean;
 }
 
-// In shares of a request's time. The prefix's home counts for half a hit: the entries meet
+// In shares of a request's time. In a crowded group a miss also holds up all that wait behind
+// it, so that a hit counts for more. The prefix's home counts for half a hit: the entries meet
 // there without talking to each other.
 double ChoiceContext::prefixSaving(ReplicaIndex index) const
 {
     if (m_facts.m_prefixHash == 0)
         return 0;
-    const double saving = m_options.m_choice.m_prefixSaving;
     const Replica &replica = m_table.replica(index);
+    const double mean = m_table.groupOf(replica).m_meanOutstanding;
+    const double crowding = std::max(1.0, mean / replica.limit());
+    const double saving = m_options.m_choice.m_prefixSaving * crowding;
     if (replica.m_prefixes.contains(m_facts.m_prefixHash))
         return saving;
     const HomeRing &ring = m_table.groupOf(replica).m_ring;
