--- /dev/null
+++ b/src/burdockhead/expertmap/placementmove.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <burdockhead/expertmap/expertmap.h>
+
+#include <vector>
+
+namespace burdockhead {
+
+// Adds a replica of an expert to a rank or takes it away.
+struct ReplicaChange
+{
+    std::uint16_t m_expert = 0;
+    std::uint16_t m_rank = 0;
+    bool m_add = true;
+
+    friend bool operator==(const ReplicaChange &, const ReplicaChange &) = default;
+};
+
+// Changes of one layer that are made together.
+struct PlacementMove
+{
+    std::vector<ReplicaChange> m_changes;
+
+    // Experts that ranks load for it.
+    std::size_t loads() const;
+
+    friend bool operator==(const PlacementMove &, const PlacementMove &) = default;
+};
+
+// Makes the move's changes.
+void applyMove(LayerPlacement &placement, const PlacementMove &move);
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/expertmap/staticplanner.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <burdockhead/expertmap/placementplanner.h>
+
+namespace burdockhead {
+
+// Never changes the map.
+class StaticPlanner : public PlacementPlanner
+{
+public:
+    ExpertMap plan(const ExpertMap &current, const GroupLoads &) const override { return current; }
+};
+
+} // namespace burdockhead
