Break the stand-ins' connections at the cold turn, not a moment later

Cause: the last overload of the cold-start plan came from the stand-in. It answered with the new boot id 20 ms before it cut its connections, so a request that had arrived after the turn lost its connection while the stand-in went on running it. The agent rightly took the cut for the request's end and sent the next. An engine that restarts loses all connections before it accepts a new one.

Ruled out: the window of unconfirmed requests and the order of sign and end, by reading the sequence of events; the check and its bound are unchanged. Conclusion: the stand-ins now cut at once, which is the harder case for the agent.

--- a/tests/standins/engine/enginerank.cpp
+++ b/tests/standins/engine/enginerank.cpp
@@ -155,7 +155,7 @@
     m_cold = true;
     m_completedSinceCold = 0;
     m_counters.m_broken += m_running.size();
-    dropConnectionsSoon(m_options.m_port);
+    dropConnections(m_options.m_port);
     m_running.clear();
     m_cache.clear(Clock::now());
 }
--- a/tests/standins/engine/standinsupport.cpp
+++ b/tests/standins/engine/standinsupport.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds answerTime(20);
 
 sigset_t terminationSignals()
 {
@@ -93,14 +92,6 @@
     }
 }
 
-void dropConnectionsSoon(std::uint16_t port)
-{
-    std::thread([port] {
-        std::this_thread::sleep_for(answerTime);
-        dropConnections(port);
-    }).detach();
-}
-
 void sendGarbage(HttpResponder &responder)
 {
     // The value ends the head early; what follows is no valid chunk.
--- a/tests/standins/engine/standinsupport.h
+++ b/tests/standins/engine/standinsupport.h
@@ -30,9 +30,6 @@
 // Breaks every connection accepted on the port, as the end of the process would.
 void dropConnections(std::uint16_t port);
 
-// The same a moment later, so that an answer under way still leaves.
-void dropConnectionsSoon(std::uint16_t port);
-
 // Sends a response whose body violates HTTP, so that the caller gets no whole answer.
 void sendGarbage(HttpResponder &responder);
 
--- a/tests/standins/service/recordingservice.cpp
+++ b/tests/standins/service/recordingservice.cpp
@@ -175,7 +175,7 @@
     ++m_bootId;
     m_cold = true;
     m_completedSinceCold = 0;
-    dropConnectionsSoon(m_port);
+    dropConnections(m_port);
 }
 
 } // namespace burdockhead
