--- a/bench/admission/bench_admission.cpp
+++ b/bench/admission/bench_admission.cpp
@@ -4,8 +4,10 @@
 int main()
 {
     burdockhead::printOverload();
+    burdockhead::printReturns();
     burdockhead::printColdStart();
     burdockhead::printDecisionCost();
+    burdockhead::printLedger();
     burdockhead::printClaims();
     return 0;
 }
--- a/bench/admission/tables.h
+++ b/bench/admission/tables.h
@@ -4,8 +4,10 @@
 
 // Each prints one markdown table to the standard output.
 void printOverload();
+void printReturns();
 void printColdStart();
 void printDecisionCost();
+void printLedger();
 void printClaims();
 
 } // namespace burdockhead
--- a/src/burdockhead/idempotency/claimshardwriter.cpp
+++ b/src/burdockhead/idempotency/claimshardwriter.cpp
@@ -1,6 +1,7 @@
 #include <burdockhead/idempotency/claimshardwriter.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockhead {
 
@@ -40,7 +41,7 @@
         answerKnown(batch, wallMilliseconds, counters);
     if (batch.empty())
         return WriteResult::Applied;
-    if ((!m_known || m_readsFirst > 0) && !load(counters))
+    if ((!m_current || m_readsFirst > 0) && !load(counters))
         return WriteResult::Unknown;
     answerKnown(batch, wallMilliseconds, counters);
     ClaimShard changed = *m_known;
@@ -68,9 +69,13 @@
     if (!answer.m_answered)
         return false;
     const std::string value = answer.m_object ? answer.m_object->m_value : std::string();
+    auto shard = ClaimShard::decode(value, m_limits.m_shard);
+    if (!shard)
+        return false;
     m_version = answer.m_object ? answer.m_object->m_version : 0;
-    m_known = ClaimShard::decode(value, m_limits.m_shard);
-    return m_known.has_value();
+    m_known = std::move(shard);
+    m_current = true;
+    return true;
 }
 
 void ClaimShardWriter::answerKnown(std::vector<PendingClaim> &batch, std::uint64_t wallMilliseconds,
@@ -107,7 +112,7 @@
         m_backoff = std::min(m_backoff + 1, mostBackoff);
         m_undisturbed = 0;
     }
-    m_known.reset();
+    m_current = false;
     return answer.m_result;
 }
 
--- a/src/burdockhead/idempotency/claimshardwriter.h
+++ b/src/burdockhead/idempotency/claimshardwriter.h
@@ -36,10 +36,12 @@
     ClaimServiceLimits m_limits;
     std::string m_name;
     std::uint64_t m_version = 0;
-    std::uint32_t m_backoff = 0;       // Doublings of the interval.
-    std::uint32_t m_undisturbed = 0;   // Writes since the last conflict or change of the backoff.
-    std::uint32_t m_readsFirst = 0;    // Writes to come that are preceded by a read.
-    std::optional<ClaimShard> m_known; // As the platform holds it; none: read it first.
+    std::uint32_t m_backoff = 0;     // Doublings of the interval.
+    std::uint32_t m_undisturbed = 0; // Writes since the last conflict or change of the backoff.
+    std::uint32_t m_readsFirst = 0;  // Writes to come that are preceded by a read.
+    // As the platform held it; its claims stay true until they lapse, also in an outage.
+    std::optional<ClaimShard> m_known;
+    bool m_current = false; // False: read the object before writing it.
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/idempotency/requestledger.cpp
+++ b/src/burdockhead/idempotency/requestledger.cpp
@@ -23,8 +23,8 @@
 RequestLedger::RequestLedger(Incarnation incarnation, const LedgerLimits &limits)
     : m_incarnation(incarnation)
     , m_limits(limits)
-    , m_attemptFloors(limits.m_issuers)
-    , m_ticketFloors(limits.m_issuers)
+    , m_attemptFloors(limits.m_issuers, limits.m_keyRetention)
+    , m_ticketFloors(limits.m_issuers, limits.m_keyRetention)
 {}
 
 LedgerDecision RequestLedger::dispatch(const LedgerRequest &request, TimePoint now)
@@ -45,12 +45,14 @@
 
 void RequestLedger::completed(const AttemptId &attempt, const StoredAnswer &answer, TimePoint now)
 {
+    m_now = now;
     const auto found = find(attempt);
     if (found == m_entries.end() || found->second.m_state == State::Completed)
         return;
     Entry &entry = found->second;
     const std::size_t size = answer.m_body.size() + answer.m_contentType.size();
-    if (m_bytes + size > m_limits.m_bytes) {
+    deadlinesOf(found->first).erase({entry.m_keptUntil, found->first});
+    if (!makeRoom(size)) {
         settle(found, State::Unknown, now);
         return;
     }
@@ -69,17 +71,19 @@
 
 void RequestLedger::neverStarted(const AttemptId &attempt, TimePoint now)
 {
+    m_now = now;
     const auto found = find(attempt);
     if (found == m_entries.end() || found->second.m_state != State::Running)
         return;
     const std::vector<AttemptId> attempts = found->second.m_attempts;
     forget(found->first);
     for (const AttemptId &refused : attempts)
-        bury(refused, now);
+        bury(refused);
 }
 
 RunState RequestLedger::tombstone(const AttemptId &attempt, TimePoint now)
 {
+    m_now = now;
     const auto found = find(attempt);
     if (found != m_entries.end())
         return found->second.m_state == State::Completed ? RunState::Ran : RunState::Unknown;
@@ -87,27 +91,16 @@
         return RunState::NotRun;
     if (m_attemptFloors.mayBeForgotten(attempt.m_issuer, attempt.m_sequence))
         return RunState::Unknown;
-    return bury(attempt, now) ? RunState::NotRun : RunState::Unknown;
+    return bury(attempt) ? RunState::NotRun : RunState::Unknown;
 }
 
 void RequestLedger::expire(TimePoint now)
 {
-    while (!m_entryDeadlines.empty() && m_entryDeadlines.begin()->first < now) {
-        const std::string key = m_entryDeadlines.begin()->second;
-        const Entry &entry = m_entries.at(key);
-        for (const AttemptId &attempt : entry.m_attempts)
-            m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
-        if (entry.m_ticket)
-            m_ticketFloors.raise(entry.m_ticket->m_issuer, entry.m_ticket->m_number);
-        forget(key);
-    }
-    while (!m_tombstoneDeadlines.empty() && m_tombstoneDeadlines.begin()->first < now) {
-        const AttemptId attempt = m_tombstoneDeadlines.begin()->second;
-        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
-        m_tombstoneDeadlines.erase(m_tombstoneDeadlines.begin());
-        m_tombstones.erase(attempt);
-        m_bytes -= tombstoneOverhead;
-    }
+    m_now = now;
+    dropExpired(m_keyDeadlines);
+    dropExpired(m_keylessDeadlines);
+    while (!m_tombstoneDeadlines.empty() && m_tombstoneDeadlines.begin()->first < now)
+        dropOldestTombstone();
 }
 
 std::string RequestLedger::entryKey(const LedgerRequest &request)
@@ -145,11 +138,11 @@
     if (request.m_ticket
         && m_ticketFloors.mayBeForgotten(request.m_ticket->m_issuer, request.m_ticket->m_number))
         return {LedgerVerdict::OutcomeUnknown, {}};
-    if (!m_attemptFloors.hasRoomFor(attempt.m_issuer)
-        || (request.m_ticket && !m_ticketFloors.hasRoomFor(request.m_ticket->m_issuer)))
+    if (!m_attemptFloors.hasRoomFor(attempt.m_issuer, m_now)
+        || (request.m_ticket && !m_ticketFloors.hasRoomFor(request.m_ticket->m_issuer, m_now)))
         return {LedgerVerdict::Full, {}};
     const std::size_t size = entryOverhead + 2 * key.size();
-    if (m_bytes + size + attemptOverhead > m_limits.m_bytes)
+    if (!makeRoom(size + attemptOverhead))
         return {LedgerVerdict::Full, {}};
     Entry &entry = m_entries[key];
     entry.m_fingerprint = request.m_fingerprint;
@@ -168,7 +161,7 @@
     if (std::ranges::find(entry.m_attempts, attempt) != entry.m_attempts.end())
         return;
     if (m_bytes + attemptOverhead > m_limits.m_bytes) {
-        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence, m_now);
         return;
     }
     if (!entry.m_attempts.empty())
@@ -187,24 +180,25 @@
 void RequestLedger::settle(Entries::iterator entry, State state, TimePoint now)
 {
     const bool keyless = entry->first.starts_with(attemptPrefix);
-    m_entryDeadlines.erase({entry->second.m_keptUntil, entry->first});
+    Deadlines &deadlines = deadlinesOf(entry->first);
+    deadlines.erase({entry->second.m_keptUntil, entry->first});
     entry->second.m_state = state;
     entry->second.m_keptUntil =
         now + (keyless ? m_limits.m_attemptRetention : m_limits.m_keyRetention);
-    m_entryDeadlines.insert({entry->second.m_keptUntil, entry->first});
+    deadlines.insert({entry->second.m_keptUntil, entry->first});
 }
 
 // Makes a tombstone, or counts the attempt as forgotten when there is no room. False when
 // that can't be remembered either.
-bool RequestLedger::bury(const AttemptId &attempt, TimePoint now)
+bool RequestLedger::bury(const AttemptId &attempt)
 {
     if (m_bytes + tombstoneOverhead > m_limits.m_bytes) {
-        const bool remembered = m_attemptFloors.hasRoomFor(attempt.m_issuer);
+        const bool remembered = m_attemptFloors.hasRoomFor(attempt.m_issuer, m_now);
         if (remembered)
-            m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence);
+            m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence, m_now);
         return remembered;
     }
-    const TimePoint keptUntil = now + m_limits.m_attemptRetention;
+    const TimePoint keptUntil = m_now + m_limits.m_attemptRetention;
     if (!m_tombstones.emplace(attempt, keptUntil).second)
         return true;
     m_tombstoneDeadlines.insert({keptUntil, attempt});
@@ -215,11 +209,56 @@
 void RequestLedger::forget(const std::string &key)
 {
     const auto found = m_entries.find(key);
-    m_entryDeadlines.erase({found->second.m_keptUntil, key});
+    deadlinesOf(key).erase({found->second.m_keptUntil, key});
     for (const AttemptId &attempt : found->second.m_attempts)
         m_byAttempt.erase(attempt);
     m_bytes -= found->second.m_bytes;
     m_entries.erase(found);
 }
 
+// Forgets an entry that has ended, so that what belonged to it counts as seen.
+void RequestLedger::drop(const std::string &key)
+{
+    const Entry &entry = m_entries.at(key);
+    for (const AttemptId &attempt : entry.m_attempts)
+        m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence, m_now);
+    if (entry.m_ticket)
+        m_ticketFloors.raise(entry.m_ticket->m_issuer, entry.m_ticket->m_number, m_now);
+    forget(key);
+}
+
+void RequestLedger::dropOldestTombstone()
+{
+    const AttemptId attempt = m_tombstoneDeadlines.begin()->second;
+    m_attemptFloors.raise(attempt.m_issuer, attempt.m_sequence, m_now);
+    m_tombstoneDeadlines.erase(m_tombstoneDeadlines.begin());
+    m_tombstones.erase(attempt);
+    m_bytes -= tombstoneOverhead;
+}
+
+void RequestLedger::dropExpired(const Deadlines &deadlines)
+{
+    while (!deadlines.empty() && deadlines.begin()->first < m_now)
+        drop(std::string(deadlines.begin()->second));
+}
+
+// Drops the oldest of what floors protect as well; false when that isn't enough.
+bool RequestLedger::makeRoom(std::size_t bytes)
+{
+    while (m_bytes + bytes > m_limits.m_bytes) {
+        if (!m_keylessDeadlines.empty())
+            drop(std::string(m_keylessDeadlines.begin()->second));
+        else if (!m_tombstoneDeadlines.empty())
+            dropOldestTombstone();
+        else
+            return false;
+    }
+    return true;
+}
+
+RequestLedger::Deadlines &RequestLedger::deadlinesOf(const std::string &key)
+{
+    return key.starts_with(attemptPrefix) ? m_keylessDeadlines : m_keyDeadlines;
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/idempotency/requestledger.h
+++ b/src/burdockhead/idempotency/requestledger.h
@@ -25,6 +25,8 @@
     RequestLedger(Incarnation incarnation, const LedgerLimits &limits);
 
     // An attempt arrives. Run is answered once for a key, until neverStarted() takes it back.
+    // Without room for a new one the oldest keyless records are dropped early; a late copy
+    // of one of these is answered OutcomeUnknown.
     LedgerDecision dispatch(const LedgerRequest &request, TimePoint now);
 
     // The attempt's request, or one that it waits for, ran to its end with this answer.
@@ -68,6 +70,7 @@
         std::size_t m_bytes = 0;
     };
 
+    using Deadlines = std::set<std::pair<TimePoint, std::string>>;
     using Entries = std::unordered_map<std::string, Entry>;
 
     static std::string entryKey(const LedgerRequest &request);
@@ -76,19 +79,26 @@
     void attach(Entry &entry, const AttemptId &attempt);
     Entries::iterator find(const AttemptId &attempt);
     void settle(Entries::iterator entry, State state, TimePoint now);
-    bool bury(const AttemptId &attempt, TimePoint now);
+    bool bury(const AttemptId &attempt);
     void forget(const std::string &key);
+    void drop(const std::string &key);
+    void dropOldestTombstone();
+    void dropExpired(const Deadlines &deadlines);
+    bool makeRoom(std::size_t bytes);
+    Deadlines &deadlinesOf(const std::string &key);
 
     Incarnation m_incarnation;
     LedgerLimits m_limits;
     Entries m_entries;
     std::unordered_map<AttemptId, std::string> m_byAttempt;
     std::unordered_map<AttemptId, TimePoint> m_tombstones;
-    std::set<std::pair<TimePoint, std::string>> m_entryDeadlines;
+    Deadlines m_keyDeadlines;
+    Deadlines m_keylessDeadlines;
     std::set<std::pair<TimePoint, AttemptId>> m_tombstoneDeadlines;
     IssuerFloors m_attemptFloors;
     IssuerFloors m_ticketFloors;
     std::size_t m_bytes = 0;
+    TimePoint m_now; // The latest time point given.
 };
 
 } // namespace burdockhead
--- a/tests/internal/idempotency/test_claims.cpp
+++ b/tests/internal/idempotency/test_claims.cpp
@@ -170,6 +170,17 @@
     BOOST_TEST((failure.m_kind == ErrorKind::PlatformUnavailable));
 }
 
+BOOST_AUTO_TEST_CASE(a_claim_that_was_read_is_answered_through_an_outage)
+{
+    FakePlatform platform;
+    ClaimShardWriter writer(platform, ClaimServiceLimits(), 0);
+    ClaimServiceCounters counters;
+    BOOST_TEST(claimThrough(writer, claimOf("known", 1), counters).has_value());
+    platform.m_faults = [] { return PlatformFault::Down; };
+    BOOST_TEST(!claimThrough(writer, claimOf("new", 1), counters).has_value());
+    BOOST_TEST(claimThrough(writer, claimOf("known", 2), counters)->m_incarnation.m_value == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(stopping_answers_every_waiting_claim)
 {
     FakePlatform platform;
--- a/tests/internal/idempotency/test_requestledger.cpp
+++ b/tests/internal/idempotency/test_requestledger.cpp
@@ -115,6 +115,46 @@
     BOOST_TEST((verdictOf(ledger, requestOf(95, "x")) != LedgerVerdict::Run));
 }
 
+BOOST_AUTO_TEST_CASE(keyless_records_give_way_before_a_request_is_refused)
+{
+    LedgerLimits limits;
+    limits.m_bytes = 4000;
+    RequestLedger ledger(own, limits);
+    for (std::uint64_t sequence = 1; sequence <= 100; ++sequence) {
+        BOOST_TEST((verdictOf(ledger, requestOf(sequence, "")) == LedgerVerdict::Run));
+        ledger.completed({1, sequence}, {}, start);
+    }
+    BOOST_TEST(ledger.bytes() <= limits.m_bytes);
+    BOOST_TEST((verdictOf(ledger, requestOf(1, "")) == LedgerVerdict::OutcomeUnknown));
+    BOOST_TEST((verdictOf(ledger, requestOf(100, "")) == LedgerVerdict::Replay));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_comes_after_all_to_a_dropped_keyless_request_is_ignored)
+{
+    LedgerLimits limits;
+    limits.m_bytes = 1500;
+    RequestLedger ledger(own, limits);
+    verdictOf(ledger, requestOf(1, ""));
+    ledger.failedUnknown({1, 1}, start);
+    ledger.completed({1, 1}, {200, "", std::string(4000, 'x')}, start);
+    BOOST_TEST((verdictOf(ledger, requestOf(1, "")) == LedgerVerdict::OutcomeUnknown));
+    BOOST_TEST(ledger.bytes() <= limits.m_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(issuers_unheard_of_for_long_give_way_to_new_ones)
+{
+    IssuerFloors floors(2, Seconds(100));
+    floors.raise(1, 5, start);
+    floors.raise(2, 5, start);
+    BOOST_TEST(floors.mayBeForgotten(1, 5));
+    BOOST_TEST(!floors.mayBeForgotten(1, 6));
+    BOOST_TEST(floors.hasRoomFor(2, start));
+    BOOST_TEST(!floors.hasRoomFor(3, start));
+    floors.raise(2, 6, start + Seconds(50));
+    BOOST_TEST(floors.hasRoomFor(3, start + Seconds(101)));
+    BOOST_TEST(floors.mayBeForgotten(2, 6));
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_outcome_is_not_repeated)
 {
     RequestLedger ledger(own, LedgerLimits());
