Add the commands check, apply, show, take-out, bring-back and timeline

Cause: operators drive the system through one program.

Each command lists the flags that it has.

A change goes to the entry that answered the read before it. When the answer is lost, the configuration is read back by sections and keys and never sent again. take-out and bring-back change one line of the text in force, so comments stay, and start again on what won a race; apply refuses and says what changed.

Ruled out: passing a PUT on to the next entry when a connection is refused. HttpOutcome reports such a call as connected (curl gives neither a connect time nor a new connection), so it can't be told from a lost answer.

Found on the way: a responder that outlives its HttpServer corrupts the heap; the fake entry in the tests drops it first.

--- a/src/burdockhead/main.cpp
+++ b/src/burdockhead/main.cpp
@@ -1,7 +1,29 @@
-#include <cstdio>
+#include <burdockhead/operators/commandline.h>
+#include <burdockhead/operators/exitcode.h>
 
-int main()
+#include <iostream>
+
+using namespace burdockhead;
+
+namespace {
+
+int refuseEntry(const EntrySettings &)
+{
+    std::cerr << "burdockhead: entry is not available in this build\n";
+    return ExitFailed;
+}
+
+int refuseAgent(const AgentSettings &)
+{
+    std::cerr << "burdockhead: agent is not available in this build\n";
+    return ExitFailed;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
 {
-    std::puts("burdockhead " BURDOCKHEAD_VERSION);
-    return 0;
+    const ProcessRunners runners = {refuseEntry, refuseAgent};
+    return runCommandLine(programCommands(runners), Arguments(arguments + 1, arguments + count),
+                          std::cin, std::cout, std::cerr);
 }
--- /dev/null
+++ b/src/burdockhead/operators/checkcommand.cpp
@@ -0,0 +1,62 @@
+#include <burdockhead/operators/checkcommand.h>
+#include <burdockhead/operators/exitcode.h>
+#include <burdockhead/operators/textfile.h>
+#include <burdockhead/settings/configurationtext.h>
+#include <burdockhead/settings/inidocument.h>
+#include <burdockhead/settings/settingstext.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace burdockhead {
+
+namespace {
+
+bool hasSection(const IniDocument &document, const std::string &heading)
+{
+    return std::any_of(document.m_sections.begin(), document.m_sections.end(),
+                       [&](const IniSection &section) { return section.heading() == heading; });
+}
+
+// Checks a text and returns what kind of file it is.
+const char *checkText(const std::string &text, const std::string &fileName,
+                      Diagnostics &diagnostics)
+{
+    Diagnostics ignored;
+    const IniDocument document = readIniDocument(text, fileName, ignored);
+    if (!hasSection(document, "process")) {
+        parseConfiguration(text, fileName, diagnostics);
+        return "configuration";
+    }
+    if (hasSection(document, "endpoint")) {
+        parseAgentSettings(text, fileName, diagnostics);
+        return "settings of an agent";
+    }
+    parseEntrySettings(text, fileName, diagnostics);
+    return "settings of an entry";
+}
+
+} // namespace
+
+int runCheckCommand(CommandContext &context)
+{
+    int status = ExitOk;
+    for (const std::string &fileName : context.m_arguments) {
+        const auto text = readTextFile(fileName);
+        if (!text) {
+            context.m_err << fileName << ": the file can't be read\n";
+            return ExitFailed;
+        }
+        Diagnostics diagnostics;
+        const char *type = checkText(*text, fileName, diagnostics);
+        if (diagnostics.empty()) {
+            context.m_out << fileName << ": " << type << ", no errors\n";
+            continue;
+        }
+        context.m_err << toString(diagnostics);
+        status = ExitInvalidConfiguration;
+    }
+    return status;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/command.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <burdockhead/operators/commandcontext.h>
+
+#include <cstddef>
+#include <functional>
+#include <vector>
+
+namespace burdockhead {
+
+// One command of the program.
+struct Command
+{
+    const char *m_name;
+    const char *m_argumentHelp; // Such as "FILE..."; may be empty.
+    const char *m_help;
+    std::vector<const char *> m_flags;
+    std::size_t m_minArguments = 0;
+    std::size_t m_maxArguments = 0;
+    std::function<int(CommandContext &)> m_run; // Returns the exit status.
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/commandline.cpp
@@ -0,0 +1,165 @@
+#include <burdockhead/operators/checkcommand.h>
+#include <burdockhead/operators/commandline.h>
+#include <burdockhead/operators/configurationcommands.h>
+#include <burdockhead/operators/exitcode.h>
+#include <burdockhead/operators/processcommands.h>
+#include <burdockhead/operators/timelinecommand.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::size_t anyNumber = 1000;
+
+constexpr const char *exitCodeHelp =
+    "Exit status: 0 done, 1 failed, 2 wrong usage, 3 invalid settings or configuration,\n"
+    "4 conflict with another change, 5 no entry or platform reached.\n";
+
+const Command *findCommand(const std::vector<Command> &commands, const std::string &name)
+{
+    const auto found = std::find_if(commands.begin(), commands.end(),
+                                    [&](const Command &item) { return name == item.m_name; });
+    return found == commands.end() ? nullptr : &*found;
+}
+
+void printProgramHelp(const std::vector<Command> &commands, std::ostream &out)
+{
+    out << "Usage: burdockhead COMMAND [FLAGS] [ARGUMENTS]\n\nCommands:\n";
+    for (const Command &command : commands) {
+        std::string line = std::string("  ") + command.m_name;
+        line.resize(16, ' ');
+        out << line << command.m_help << "\n";
+    }
+    out << "\nburdockhead COMMAND --help tells the flags of a command.\n"
+        << "burdockhead --version prints the version.\n\n"
+        << exitCodeHelp;
+}
+
+void printCommandHelp(const Command &command, std::ostream &out)
+{
+    out << "Usage: burdockhead " << command.m_name << " [FLAGS] " << command.m_argumentHelp
+        << "\n\n"
+        << command.m_help << "\n\nFlags:\n";
+    for (const char *flag : command.m_flags)
+        out << flagHelp(flag);
+    out << "\n" << exitCodeHelp;
+}
+
+int refuseUsage(std::ostream &err, const std::string &reason)
+{
+    err << "burdockhead: " << reason << "; see burdockhead --help\n";
+    return ExitUsage;
+}
+
+bool asksForHelp(const Arguments &arguments)
+{
+    return std::find(arguments.begin(), arguments.end(), "--help") != arguments.end();
+}
+
+int runCommand(const Command &command, const Arguments &arguments, std::istream &in,
+               std::ostream &out, std::ostream &err)
+{
+    std::string error;
+    const auto others = setFlags(arguments, command.m_flags, error);
+    if (!others)
+        return refuseUsage(err, std::string(command.m_name) + ": " + error);
+    const auto options = readCommandOptions(error);
+    if (!options)
+        return refuseUsage(err, std::string(command.m_name) + ": " + error);
+    if (others->size() < command.m_minArguments)
+        return refuseUsage(err,
+                           std::string(command.m_name) + ": missing " + command.m_argumentHelp);
+    if (others->size() > command.m_maxArguments)
+        return refuseUsage(err, std::string(command.m_name) + ": unknown argument '"
+                                    + (*others)[command.m_maxArguments] + "'");
+    CommandContext context = {*options, *others, in, out, err};
+    return command.m_run(context);
+}
+
+} // namespace
+
+std::vector<Command> programCommands(const ProcessRunners &runners)
+{
+    const auto runEntry = [runners](CommandContext &context) {
+        return runEntryCommand(context, runners);
+    };
+    const auto runAgent = [runners](CommandContext &context) {
+        return runAgentCommand(context, runners);
+    };
+    return {
+        {"entry", "", "Runs an entry, which answers callers", {"settings"}, 0, 0, runEntry},
+        {"agent", "", "Runs the agent of an endpoint", {"settings"}, 0, 0, runAgent},
+        {"check",
+         "FILE...",
+         "Checks settings files and configurations",
+         {},
+         1,
+         anyNumber,
+         runCheckCommand},
+        {"apply",
+         "FILE",
+         "Shows what a configuration changes and puts it in force",
+         {"entry", "base_version", "yes", "dry_run", "timeout_ms"},
+         1,
+         1,
+         runApplyCommand},
+        {"show",
+         "",
+         "Prints the configuration in force",
+         {"entry", "timeout_ms"},
+         0,
+         0,
+         runShowCommand},
+        {"take-out",
+         "DATA-CENTRE",
+         "Takes a data centre out of service",
+         {"entry", "dry_run", "timeout_ms"},
+         1,
+         1,
+         runTakeOutCommand},
+        {"bring-back",
+         "DATA-CENTRE",
+         "Brings a data centre back into service",
+         {"entry", "dry_run", "timeout_ms"},
+         1,
+         1,
+         runBringBackCommand},
+        {"timeline",
+         "",
+         "Prints one merged time line of events from all processes",
+         {"entry", "process", "timeout_ms", "json", "request", "workspace", "endpoint", "event",
+          "since", "until"},
+         0,
+         0,
+         runTimelineCommand},
+    };
+}
+
+int runCommandLine(const std::vector<Command> &commands, const Arguments &arguments,
+                   std::istream &in, std::ostream &out, std::ostream &err)
+{
+    if (arguments.empty())
+        return refuseUsage(err, "no command");
+    if (arguments.front() == "--help") {
+        printProgramHelp(commands, out);
+        return ExitOk;
+    }
+    if (arguments.front() == "--version") {
+        out << "burdockhead " BURDOCKHEAD_VERSION "\n";
+        return ExitOk;
+    }
+    const Command *command = findCommand(commands, arguments.front());
+    if (command == nullptr)
+        return refuseUsage(err, "unknown command or flag '" + arguments.front() + "'");
+    const Arguments rest(arguments.begin() + 1, arguments.end());
+    if (asksForHelp(rest)) {
+        printCommandHelp(*command, out);
+        return ExitOk;
+    }
+    return runCommand(*command, rest, in, out, err);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/commandoptions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <burdockhead/base/socketaddress.h>
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/observe/eventfilter.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockhead {
+
+// The values of the program's flags, read and checked.
+struct CommandOptions
+{
+    std::string m_settingsFile;
+    std::vector<SocketAddress> m_entries;   // Operators' ports of entries, tried in order.
+    std::vector<SocketAddress> m_processes; // Operators' ports of further processes.
+    std::optional<std::uint64_t> m_baseVersion;
+    bool m_yes = false;
+    bool m_dryRun = false;
+    bool m_json = false;
+    Milliseconds m_timeout{5000};
+    EventFilter m_filter;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/configurationcommands.cpp
@@ -0,0 +1,206 @@
+#include <burdockhead/operators/configurationclient.h>
+#include <burdockhead/operators/configurationcommands.h>
+#include <burdockhead/operators/configurationdifference.h>
+#include <burdockhead/operators/exitcode.h>
+#include <burdockhead/operators/initextedit.h>
+#include <burdockhead/operators/textfile.h>
+#include <burdockhead/settings/configurationtext.h>
+
+#include <istream>
+#include <ostream>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr int maxChangeAttempts = 5;
+
+int exitCodeFor(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::ConfigurationInvalid:
+        return ExitInvalidConfiguration;
+    case ErrorKind::ConfigurationConflict:
+        return ExitConflict;
+    case ErrorKind::PeerUnreachable:
+    case ErrorKind::PlatformUnavailable:
+    case ErrorKind::DeadlineExceeded:
+    case ErrorKind::EndpointFailed:
+    case ErrorKind::NotReady:
+    case ErrorKind::NotCurrent:
+    case ErrorKind::OutcomeUnknown:
+        return ExitUnreachable;
+    default:
+        return ExitFailed;
+    }
+}
+
+int fail(CommandContext &context, const Failure &failure)
+{
+    context.m_err << toString(failure.m_kind) << ": " << failure.m_reason << "\n";
+    return exitCodeFor(failure.m_kind);
+}
+
+bool hasEntry(CommandContext &context)
+{
+    if (context.m_options.m_entries.empty())
+        context.m_err << "burdockhead: flag --entry is missing\n";
+    return !context.m_options.m_entries.empty();
+}
+
+bool confirms(CommandContext &context)
+{
+    if (context.m_options.m_yes)
+        return true;
+    context.m_out << "Apply? [y/N] " << std::flush;
+    std::string answer;
+    std::getline(context.m_in, answer);
+    return answer == "y" || answer == "yes";
+}
+
+// Says what somebody else changed since the state that a change was based on.
+int reportConflict(CommandContext &context, ConfigurationClient &client,
+                   const ConfigurationState &base)
+{
+    context.m_err << "configuration_conflict: version " << base.m_version
+                  << " is no longer in force; nothing was changed\n";
+    Failure failure;
+    const auto current = client.readAfterConflict(failure);
+    if (!current)
+        return ExitConflict;
+    context.m_err << "Version " << current->m_version << " is in force and differs in:\n"
+                  << configurationDifference(base.m_text, current->m_text);
+    return ExitConflict;
+}
+
+int reportApplied(CommandContext &context, std::uint64_t version)
+{
+    context.m_out << "Version " << version << " is in force.\n";
+    return ExitOk;
+}
+
+int applyText(CommandContext &context, ConfigurationClient &client, const ConfigurationState &base,
+              const std::string &text)
+{
+    Failure failure;
+    const auto version = client.write(base.m_version, text, failure);
+    if (version)
+        return reportApplied(context, *version);
+    if (failure.m_kind == ErrorKind::ConfigurationConflict)
+        return reportConflict(context, client, base);
+    return fail(context, failure);
+}
+
+int applyFile(CommandContext &context, const std::string &text)
+{
+    ConfigurationClient client(context.m_options.m_entries, context.m_options.m_timeout);
+    Failure failure;
+    const auto base = client.read(failure);
+    if (!base)
+        return fail(context, failure);
+    const std::string difference = configurationDifference(base->m_text, text);
+    context.m_out << "Changes to version " << base->m_version << ":\n"
+                  << (difference.empty() ? "  none\n" : difference);
+    const std::uint64_t expected = context.m_options.m_baseVersion.value_or(base->m_version);
+    if (expected != base->m_version) {
+        context.m_err << "configuration_conflict: the change is based on version " << expected
+                      << ", but version " << base->m_version << " is in force\n";
+        return ExitConflict;
+    }
+    if (context.m_options.m_dryRun || difference.empty())
+        return ExitOk;
+    if (!confirms(context)) {
+        context.m_err << "Nothing was changed.\n";
+        return ExitFailed;
+    }
+    return applyText(context, client, *base, text);
+}
+
+// One attempt to set a data centre's state; none when somebody else changed the
+// configuration between reading and writing.
+std::optional<int> trySetState(CommandContext &context, ConfigurationClient &client,
+                               const ConfigurationState &base, const std::string &state)
+{
+    const std::string &name = context.m_arguments.front();
+    const auto text = withIniValue(base.m_text, "data_centre " + name, "state", state);
+    if (!text) {
+        context.m_err << "No data centre is named '" << name << "'.\n";
+        return ExitFailed;
+    }
+    const std::string difference = configurationDifference(base.m_text, *text);
+    context.m_out << "Changes to version " << base.m_version << ":\n"
+                  << (difference.empty() ? "  none\n" : difference);
+    if (context.m_options.m_dryRun || difference.empty())
+        return ExitOk;
+    Failure failure;
+    const auto version = client.write(base.m_version, *text, failure);
+    if (version)
+        return reportApplied(context, *version);
+    if (failure.m_kind == ErrorKind::ConfigurationConflict)
+        return std::nullopt;
+    return fail(context, failure);
+}
+
+int setState(CommandContext &context, const std::string &state)
+{
+    if (!hasEntry(context))
+        return ExitUsage;
+    ConfigurationClient client(context.m_options.m_entries, context.m_options.m_timeout);
+    Failure failure;
+    auto base = client.read(failure);
+    for (int attempt = 0; base && attempt < maxChangeAttempts; ++attempt) {
+        const auto status = trySetState(context, client, *base, state);
+        if (status)
+            return *status;
+        base = client.readAfterConflict(failure);
+    }
+    if (!base)
+        return fail(context, failure);
+    context.m_err << "configuration_conflict: others keep changing the configuration\n";
+    return ExitConflict;
+}
+
+} // namespace
+
+int runShowCommand(CommandContext &context)
+{
+    if (!hasEntry(context))
+        return ExitUsage;
+    ConfigurationClient client(context.m_options.m_entries, context.m_options.m_timeout);
+    Failure failure;
+    const auto state = client.read(failure);
+    if (!state)
+        return fail(context, failure);
+    context.m_out << "; version " << state->m_version << "\n" << state->m_text;
+    return ExitOk;
+}
+
+int runApplyCommand(CommandContext &context)
+{
+    if (!hasEntry(context))
+        return ExitUsage;
+    const std::string &fileName = context.m_arguments.front();
+    const auto text = readTextFile(fileName);
+    if (!text) {
+        context.m_err << fileName << ": the file can't be read\n";
+        return ExitFailed;
+    }
+    Diagnostics diagnostics;
+    if (!parseConfiguration(*text, fileName, diagnostics)) {
+        context.m_err << toString(diagnostics);
+        return ExitInvalidConfiguration;
+    }
+    return applyFile(context, *text);
+}
+
+int runTakeOutCommand(CommandContext &context)
+{
+    return setState(context, "out");
+}
+
+int runBringBackCommand(CommandContext &context)
+{
+    return setState(context, "in");
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/processcommands.cpp
@@ -0,0 +1,49 @@
+#include <burdockhead/operators/exitcode.h>
+#include <burdockhead/operators/processcommands.h>
+#include <burdockhead/operators/textfile.h>
+#include <burdockhead/settings/settingstext.h>
+
+#include <ostream>
+
+namespace burdockhead {
+
+namespace {
+
+template <typename Settings>
+using Parse = std::optional<Settings> (*)(const std::string &, const std::string &, Diagnostics &);
+
+template <typename Settings>
+int runProcess(CommandContext &context, Parse<Settings> parse, int (*run)(const Settings &))
+{
+    const std::string &fileName = context.m_options.m_settingsFile;
+    if (fileName.empty()) {
+        context.m_err << "burdockhead: flag --settings is missing\n";
+        return ExitUsage;
+    }
+    const auto text = readTextFile(fileName);
+    if (!text) {
+        context.m_err << fileName << ": the file can't be read\n";
+        return ExitFailed;
+    }
+    Diagnostics diagnostics;
+    const auto settings = parse(*text, fileName, diagnostics);
+    if (!settings) {
+        context.m_err << toString(diagnostics);
+        return ExitInvalidConfiguration;
+    }
+    return run(*settings);
+}
+
+} // namespace
+
+int runEntryCommand(CommandContext &context, const ProcessRunners &runners)
+{
+    return runProcess<EntrySettings>(context, parseEntrySettings, runners.m_runEntry);
+}
+
+int runAgentCommand(CommandContext &context, const ProcessRunners &runners)
+{
+    return runProcess<AgentSettings>(context, parseAgentSettings, runners.m_runAgent);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/operators/processcommands.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <burdockhead/operators/commandcontext.h>
+#include <burdockhead/operators/processrunners.h>
+
+namespace burdockhead {
+
+// Read the settings file and run the process. They return the exit status.
+int runEntryCommand(CommandContext &context, const ProcessRunners &runners);
+int runAgentCommand(CommandContext &context, const ProcessRunners &runners);
+
+} // namespace burdockhead
--- /dev/null
+++ b/tests/public/operators/smallconfiguration.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+namespace burdockhead {
+
+// A configuration that `check` accepts.
+inline const std::string smallConfiguration = "; reviewed by two\n"
+                                              "[data_centre a]\nstate = in ; main\n"
+                                              "[data_centre b]\n"
+                                              "[kind digest]\nrepeatable = yes\n"
+                                              "[workspace w]\nshare = 2\n"
+                                              "[model_group m]\nmodel = small\nkinds = digest\n"
+                                              "[endpoint m0]\ngroup = m\ndata_centre = a\n";
+
+// The text with a part replaced.
+inline std::string replaced(std::string text, const std::string &part, const std::string &other)
+{
+    return text.replace(text.find(part), part.size(), other);
+}
+
+} // namespace burdockhead
