--- /dev/null
+++ b/src/burdockhead/agent/endpointclient.cpp
@@ -0,0 +1,99 @@
+#include <burdockhead/agent/endpointclient.h>
+#include <burdockhead/http/httprequest.h>
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr int firstErrorStatus = 400;
+
+// The answer to a probe as it comes in.
+struct ProbeAnswer
+{
+    std::optional<EndpointHealth> m_health;
+    std::string m_body;
+};
+
+std::string textOf(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+// Adds what the body says of cold starts. A report from before the present start tells
+// nothing of it, and the endpoint may have turned cold since.
+void readReport(const std::string &body, EndpointHealth &health)
+{
+    const auto report = nlohmann::json::parse(body, nullptr, false);
+    if (!report.is_object() || !report.contains("cold") || !report["cold"].is_boolean())
+        return;
+    const bool isOld = report.contains("boot_id") && textOf(report["boot_id"]) != health.m_bootId;
+    health.m_saysCold = isOld || report["cold"].get<bool>();
+}
+
+} // namespace
+
+EndpointClient::EndpointClient(std::string url, std::string probePath, std::string bootIdHeader)
+    : m_url(std::move(url))
+    , m_probePath(std::move(probePath))
+    , m_bootIdHeader(std::move(bootIdHeader))
+{}
+
+std::string EndpointClient::bootIdFrom(const std::vector<HttpHeader> &headers) const
+{
+    return findHeader(headers, m_bootIdHeader).value_or("");
+}
+
+std::uint64_t EndpointClient::start(const EndpointCall &call, EndpointCallHandlers handlers)
+{
+    HttpCall http;
+    http.m_method = call.m_method;
+    http.m_url = m_url + call.m_path;
+    http.m_body = call.m_body;
+    http.m_deadline = call.m_deadline;
+    http.m_neverResend = !call.m_repeatable;
+    if (!call.m_contentType.empty())
+        http.m_headers.push_back({"Content-Type", call.m_contentType});
+    if (!call.m_key.empty())
+        http.m_headers.push_back({"Idempotency-Key", call.m_key});
+    HttpCallHandlers httpHandlers;
+    httpHandlers.m_onHead = [this, onHead = std::move(handlers.m_onHead)](
+                                int status, const std::vector<HttpHeader> &headers) {
+        onHead(status, findHeader(headers, "Content-Type").value_or(""),
+               {bootIdFrom(headers), std::nullopt});
+    };
+    httpHandlers.m_onData = std::move(handlers.m_onData);
+    httpHandlers.m_onDone = std::move(handlers.m_onDone);
+    return m_http.start(std::move(http), std::move(httpHandlers));
+}
+
+void EndpointClient::cancel(std::uint64_t id)
+{
+    m_http.cancel(id);
+}
+
+void EndpointClient::probe(TimePoint deadline,
+                           std::function<void(std::optional<EndpointHealth>)> handler)
+{
+    HttpCall call;
+    call.m_url = m_url + m_probePath;
+    call.m_deadline = deadline;
+    const auto answer = std::make_shared<ProbeAnswer>();
+    HttpCallHandlers handlers;
+    handlers.m_onHead = [this, answer](int status, const std::vector<HttpHeader> &headers) {
+        if (status < firstErrorStatus)
+            answer->m_health = EndpointHealth{bootIdFrom(headers), std::nullopt};
+    };
+    handlers.m_onData = [answer](std::string_view data) { answer->m_body.append(data); };
+    handlers.m_onDone = [answer, handler = std::move(handler)](const HttpOutcome &outcome) {
+        if (answer->m_health)
+            readReport(answer->m_body, *answer->m_health);
+        handler(outcome.m_completed ? answer->m_health : std::nullopt);
+    };
+    m_http.start(std::move(call), std::move(handlers));
+}
+
+} // namespace burdockhead
