--- a/bench/routing/fakereplica.cpp
+++ b/bench/routing/fakereplica.cpp
@@ -11,6 +11,7 @@
 constexpr double missSeconds = 0.2;
 constexpr double stepSeconds = 0.02;
 constexpr double stepSecondsPerRequest = 0.0015;
+constexpr double stallSeconds = 3;
 constexpr double coldFactor = 2;
 constexpr unsigned completionsToWarm = 24;
 constexpr std::size_t cachedPrefixes = 24;
@@ -60,9 +61,15 @@
     m_queue.push_back(job);
 }
 
+void FakeReplica::cancel(const std::shared_ptr<FakeJob> &job)
+{
+    m_running.remove(job);
+    std::erase(m_queue, job);
+    startQueued();
+}
+
 void FakeReplica::stop(Duration detection)
 {
-    ++m_epoch;
     m_stopped = true;
     m_detection = detection;
     for (const auto &job : std::exchange(m_running, {}))
@@ -97,14 +104,14 @@
     const double prefill = factor * (hit ? hitSeconds : missSeconds);
     const double batch = static_cast<double>(m_running.size());
     const double decode = factor * job->m_tokens * (stepSeconds + stepSecondsPerRequest * batch);
-    const unsigned epoch = m_epoch;
-    m_events.after(seconds(prefill), [this, job, hit, epoch] {
-        if (epoch == m_epoch)
+    const double stall = std::bernoulli_distribution(m_stallShare)(m_random) ? stallSeconds : 0;
+    m_events.after(seconds(stall + prefill), [this, job, hit] {
+        if (isRunning(job))
             job->m_firstChunk(hit);
     });
-    const Duration total = seconds(prefill + decode);
-    m_events.after(total, [this, job, total, epoch] {
-        if (epoch == m_epoch)
+    const Duration total = seconds(stall + prefill + decode);
+    m_events.after(total, [this, job, total] {
+        if (isRunning(job))
             finish(job, total);
     });
 }
@@ -117,6 +124,17 @@
     m_running.remove(job);
     if (m_cold && ++m_completedCold >= completionsToWarm)
         m_cold = false;
+    startQueued();
+    job->m_end(AttemptOutcome::Completed, report());
+}
+
+bool FakeReplica::isRunning(const std::shared_ptr<FakeJob> &job) const
+{
+    return std::find(m_running.begin(), m_running.end(), job) != m_running.end();
+}
+
+void FakeReplica::startQueued()
+{
     while (!m_queue.empty() && m_running.size() < limit()) {
         const auto next = m_queue.front();
         m_queue.pop_front();
@@ -125,7 +143,6 @@
         else
             next->m_end(AttemptOutcome::RefusedNotRun, report());
     }
-    job->m_end(AttemptOutcome::Completed, report());
 }
 
 bool FakeReplica::lookUp(std::uint64_t prefix)
--- a/bench/routing/fakereplica.h
+++ b/bench/routing/fakereplica.h
@@ -3,6 +3,7 @@
 #include "eventqueue.h"
 #include "lrucache.h"
 #include <burdockhead/admission/loadreport.h>
+#include <burdockhead/base/random.h>
 #include <burdockhead/routing/attemptoutcome.h>
 #include <burdockhead/routing/requestfacts.h>
 
@@ -34,6 +35,9 @@
     // Takes, queues or refuses a job. Its callbacks are called at this replica, without delay.
     void offer(const std::shared_ptr<FakeJob> &job);
 
+    // Drops a job, if it is still here, without calling it back.
+    void cancel(const std::shared_ptr<FakeJob> &job);
+
     // Loses everything. Jobs in hand end as unreachable after `detection`, and so do new ones
     // until the replica is started again.
     void stop(Duration detection);
@@ -45,6 +49,7 @@
     std::size_t outstanding() const { return m_running.size() + m_queue.size(); }
     bool isStopped() const { return m_stopped; }
 
+    double m_stallShare = 0; // Of requests that wait for some seconds before they run.
     double m_slowness = 1;
     bool m_failsAtOnce = false;
 
@@ -59,11 +64,14 @@
 private:
     void handle(const std::shared_ptr<FakeJob> &job);
     void run(const std::shared_ptr<FakeJob> &job);
+    bool isRunning(const std::shared_ptr<FakeJob> &job) const;
+    void startQueued();
     void finish(const std::shared_ptr<FakeJob> &job, Duration elapsed);
     bool lookUp(std::uint64_t prefix);
     std::uint32_t limit() const { return m_cold ? coldLimit : warmLimit; }
 
     EventQueue &m_events;
+    Random m_random;
     CacheEvent m_cacheEvent;
     LruCache m_cache;
     std::list<std::shared_ptr<FakeJob>> m_running;
@@ -71,7 +79,6 @@
     bool m_stopped = false;
     bool m_cold = false;
     unsigned m_completedCold = 0;
-    unsigned m_epoch = 0; // Counts stops; what was begun before a stop has no effect.
     TimePoint m_agentFreeAt;
     Duration m_detection{0};
     double m_serviceMicroseconds = 0;
--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-ABSL_FLAG(std::string, scenario, "all", "choice, retries, datacentres, cost or all");
+ABSL_FLAG(std::string, scenario, "all", "choice, retries, hedges, datacentres, cost or all");
 ABSL_FLAG(std::uint32_t, runs, 5, "seeds a figure, from 1");
 
 int main(int argc, char **argv)
@@ -19,6 +19,8 @@
         burdockhead::measureChoice(runs);
     if (all || scenario == "retries")
         burdockhead::measureRetries(runs);
+    if (all || scenario == "hedges")
+        burdockhead::measureHedges(runs);
     if (all || scenario == "datacentres")
         burdockhead::measureDataCentres(runs);
     if (all || scenario == "cost")
--- a/bench/routing/simulation.h
+++ b/bench/routing/simulation.h
@@ -19,6 +19,7 @@
     double m_load = 0.8; // Offered requests over the capacity of all replicas.
     Seconds m_length{60};
     std::uint64_t m_seed = 1;
+    bool m_hedges = false;
     bool m_kinds = false; // A mix of weights, a tenth of it payments that may not be repeated.
 };
 
@@ -52,7 +53,9 @@
     static constexpr unsigned dataCentres = 3;
 
 private:
+    struct Attempt;
     struct Flight;
+    using AttemptPointer = std::shared_ptr<Attempt>;
     using FlightPointer = std::shared_ptr<Flight>;
 
     void buildConfiguration();
@@ -61,9 +64,12 @@
     void scheduleReports();
     void scheduleSkew();
     FlightPointer drawFlight();
-    void attempt(const FlightPointer &flight);
-    void ended(const FlightPointer &flight, const RouteTarget &target, AttemptOutcome outcome,
+    void tryNext(const FlightPointer &flight);
+    void send(const FlightPointer &flight, const RouteTarget &target);
+    void scheduleHedge(const FlightPointer &flight);
+    void ended(const FlightPointer &flight, const AttemptPointer &attempt, AttemptOutcome outcome,
                const std::optional<LoadReport> &report);
+    void cancelOthers(const FlightPointer &flight);
     void comeBack(const FlightPointer &flight, TimePoint at);
     void close(const FlightPointer &flight, bool completed);
     void cacheEvent(unsigned number, std::uint64_t prefix, bool stored);
