Give no leave to hedge while all slots are in use

Ruled out: nothing else; the budget alone bounds hedges to a tenth, which is still too much when there is no room.

--- a/src/burdockhead/routing/entryrouter.cpp
+++ b/src/burdockhead/routing/entryrouter.cpp
@@ -26,6 +26,7 @@
     RouteDecision accept(const RequestFacts &facts, ReplicaIndex index);
     std::optional<ErrorKind> unknownPart(const RequestFacts &facts) const;
     bool isPresent(ReplicaIndex index, Incarnation incarnation) const;
+    bool isCrowded(const RequestFacts &facts) const;
 
     RouterOptions m_options;
     Random m_random;
@@ -95,6 +96,15 @@
     return incarnation == Incarnation() || (announced && announced->m_incarnation == incarnation);
 }
 
+// Whether all groups that could take the request are crowded.
+bool EntryRouter::Private::isCrowded(const RequestFacts &facts) const
+{
+    const auto *groups = m_table.groupsFor(facts);
+    return groups == nullptr
+           || std::all_of(groups->begin(), groups->end(),
+                          [this](GroupIndex index) { return m_table.group(index).isCrowded(); });
+}
+
 EntryRouter::EntryRouter(const RouterOptions &options, Random seed)
     : m_d(std::make_unique<Private>(options, seed))
 {}
@@ -179,7 +189,7 @@
 
 bool EntryRouter::takeHedge(const RequestFacts &facts, TimePoint now)
 {
-    return m_d->m_retries.takeHedge(facts, now);
+    return !m_d->isCrowded(facts) && m_d->m_retries.takeHedge(facts, now);
 }
 
 std::vector<EndpointSnapshot> EntryRouter::snapshot(TimePoint now) const
--- a/src/burdockhead/routing/entryrouter.h
+++ b/src/burdockhead/routing/entryrouter.h
@@ -76,7 +76,8 @@
     // aren't repeatable or while too little is known of the kind's times.
     std::optional<TimePoint> hedgeAt(const RequestFacts &facts, TimePoint dispatchedAt) const;
 
-    // Asks, at the time that hedgeAt gave, for leave to hedge; uses up budget when true.
+    // Asks, at the time that hedgeAt gave, for leave to hedge; uses up budget when true. No
+    // leave is given while the replicas have no slot free.
     bool takeHedge(const RequestFacts &facts, TimePoint now);
 
     // Every configured endpoint as this entry sees it, sorted by name.
--- a/src/burdockhead/routing/grouprecord.cpp
+++ b/src/burdockhead/routing/grouprecord.cpp
@@ -12,6 +12,9 @@
 {
     const double outstanding = static_cast<double>(report.m_running) + report.m_queued;
     m_meanOutstanding += (outstanding - m_meanOutstanding) * meanGain;
+    if (m_meanLimit == 0)
+        m_meanLimit = report.m_limit;
+    m_meanLimit += (report.m_limit - m_meanLimit) * meanGain;
     const double service = report.m_serviceMicroseconds;
     if (service == 0)
         return;
--- a/src/burdockhead/routing/replicatableconfiguration.cpp
+++ b/src/burdockhead/routing/replicatableconfiguration.cpp
@@ -74,6 +74,7 @@
         record.m_name = group.m_name;
         if (known) {
             record.m_meanOutstanding = m_groups[*known].m_meanOutstanding;
+            record.m_meanLimit = m_groups[*known].m_meanLimit;
             record.m_meanServiceMicroseconds = m_groups[*known].m_meanServiceMicroseconds;
         }
         records.push_back(std::move(record));
--- a/tests/internal/routing/test_entryrouter.cpp
+++ b/tests/internal/routing/test_entryrouter.cpp
@@ -223,6 +223,28 @@
     return router;
 }
 
+void takeOutAndBringBack(EntryRouter &router)
+{
+    Configuration out = makeConfiguration(endpoints);
+    out.m_dataCentres[0].m_takenOut = true;
+    router.applyConfiguration(makeVersion(2, out));
+    router.applyConfiguration(makeVersion(3, makeConfiguration(endpoints)));
+}
+
+// Routes and sends some requests and says how many went to that endpoint.
+int sentTo(EntryRouter &router, const EndpointName &endpoint)
+{
+    int sent = 0;
+    for (unsigned request = 0; request < 20; ++request) {
+        const RouteDecision decision = router.route(modelRequest(), {}, startTime);
+        if (!decision.m_target)
+            continue;
+        router.dispatched(decision.m_target->m_endpoint, startTime);
+        sent += decision.m_target->m_endpoint == endpoint ? 1 : 0;
+    }
+    return sent;
+}
+
 ErrorKind refusalOf(EntryRouter &router, const RequestFacts &facts, TimePoint now = startTime)
 {
     const RouteDecision decision = router.route(facts, {}, now);
@@ -332,28 +354,34 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_data_centre_that_comes_back_gets_a_growing_share)
+{
+    EntryRouter router = readyRouter(alone(ChooserType::RoundRobin));
+    takeOutAndBringBack(router);
+    // e0 and e3 are in d0; only e0 is of the model's group. Cold, both carry 2 each.
+    BOOST_TEST(sentTo(router, endpointName(0)) == 4);
+    for (unsigned answer = 0; answer < 2; ++answer)
+        router.answered(endpointName(0), AttemptOutcome::Completed, LoadReport{2, 0, 8, 1000},
+                        startTime);
+    BOOST_TEST(sentTo(router, endpointName(0)) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(without_gates_a_data_centre_that_comes_back_gets_all_at_once)
 {
     RouterOptions options = alone(ChooserType::RoundRobin);
+    options.m_gates = false;
     EntryRouter router = readyRouter(options);
-    Configuration out = makeConfiguration(endpoints);
-    out.m_dataCentres[0].m_takenOut = true;
-    router.applyConfiguration(makeVersion(2, out));
-    router.applyConfiguration(makeVersion(3, makeConfiguration(endpoints)));
-    std::vector<EndpointName> sent;
-    for (unsigned request = 0; request < 20; ++request) {
-        const RouteDecision decision = router.route(modelRequest(), {}, startTime);
-        if (!decision.m_target)
-            continue;
-        router.dispatched(decision.m_target->m_endpoint, startTime);
-        sent.push_back(decision.m_target->m_endpoint);
-    }
-    // e0 and e3 are in d0; only e0 is of the model's group. Cold, both carry 2 each.
-    BOOST_TEST(std::count(sent.begin(), sent.end(), endpointName(0)) == 4);
-    router.answered(endpointName(0), AttemptOutcome::Completed, LoadReport{3, 0, 8, 1000},
-                    startTime);
-    const RouteDecision next =
-        router.route(modelRequest(), {endpointName(2), endpointName(4)}, startTime);
-    BOOST_TEST(next.m_target.has_value());
+    takeOutAndBringBack(router);
+    BOOST_TEST(sentTo(router, endpointName(0)) > 4);
+}
+
+BOOST_AUTO_TEST_CASE(no_leave_to_hedge_is_given_while_all_slots_are_in_use)
+{
+    EntryRouter router = readyRouter(alone());
+    router.route(modelRequest(), {}, startTime);
+    BOOST_TEST(router.takeHedge(modelRequest(), startTime));
+    for (unsigned report = 0; report < 100; ++report)
+        router.noteLoad(endpointName(0), {4, 4, 4, 1000, false, false}, startTime);
+    BOOST_TEST(!router.takeHedge(modelRequest(), startTime));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
