--- a/src/burdockhead/expertmap/layerbalancer.cpp
+++ b/src/burdockhead/expertmap/layerbalancer.cpp
@@ -58,6 +58,18 @@
     return std::binary_search(replicas.begin(), replicas.end(), rank);
 }
 
+double LayerBalancer::share(std::size_t expert, std::size_t addedReplicas) const
+{
+    return m_loads[expert] / static_cast<double>(m_placement[expert].size() + addedReplicas);
+}
+
+// False when the target would come out as heavy as the heaviest rank; spares weighing moves
+// that can't help.
+bool LayerBalancer::relieves(std::uint16_t heavy, std::uint16_t target, double added) const
+{
+    return m_rankLoads[target] + added < m_rankLoads[heavy];
+}
+
 // The lightest ranks, and the lightest among those that can give up a slot.
 std::vector<std::uint16_t> LayerBalancer::targetsFor(std::uint16_t heaviestRank) const
 {
@@ -101,7 +113,7 @@
         consider(heavy, {{add, leave}});
     }
     for (const std::uint16_t other : m_held[target]) {
-        if (!isDroppable(other))
+        if (!isDroppable(other) || !relieves(heavy, target, share(expert, 1) - share(other, 0)))
             continue;
         const ReplicaChange drop{other, target, false};
         consider(heavy, {{drop, add}});
@@ -118,6 +130,8 @@
         if (holds(target, expert))
             continue;
         for (const std::uint16_t evicted : m_held[target]) {
+            if (!relieves(heavy, target, share(expert, 1) - share(evicted, 0)))
+                continue;
             tryEvictionTo(heavy, {expert, target, true}, {evicted, heavy, true});
             for (const std::uint16_t destination : targets)
                 tryEvictionTo(heavy, {expert, target, true}, {evicted, destination, true});
@@ -146,7 +160,8 @@
 void LayerBalancer::trySwap(std::uint16_t heavy, std::uint16_t target, std::uint16_t expert)
 {
     for (const std::uint16_t other : m_held[target]) {
-        if (holds(heavy, other))
+        const double difference = share(expert, 0) - share(other, 0);
+        if (difference <= 0 || holds(heavy, other) || !relieves(heavy, target, difference))
             continue;
         consider(heavy, {{{expert, heavy, false},
                           {other, target, false},
--- a/src/burdockhead/expertmap/layerbalancer.h
+++ b/src/burdockhead/expertmap/layerbalancer.h
@@ -36,6 +36,8 @@
         return m_held[rank].size() < m_shape.m_slotsPerRank;
     }
     bool isDroppable(std::size_t expert) const { return m_placement[expert].size() > 1; }
+    double share(std::size_t expert, std::size_t addedReplicas) const;
+    bool relieves(std::uint16_t heavy, std::uint16_t target, double added) const;
     std::vector<std::uint16_t> targetsFor(std::uint16_t heaviestRank) const;
     void tryTarget(std::uint16_t heavy, std::uint16_t target);
     void tryReplicate(std::uint16_t heavy, std::uint16_t target, std::uint16_t expert);
