--- a/bench/expertmap/expertmapbench.cpp
+++ b/bench/expertmap/expertmapbench.cpp
@@ -40,6 +40,7 @@
 {
     MoveCosts costs;
     costs.m_secondsPerExpert = 0;
+    costs.m_tolerance = 0;
     return costs;
 }
 
--- a/src/burdockhead/expertmap/incrementalplanner.cpp
+++ b/src/burdockhead/expertmap/incrementalplanner.cpp
@@ -35,13 +35,15 @@
 };
 
 LayerMoves movesOf(const LayerPlacement &placement, const LayerLoads &loads,
-                   const GroupShape &shape)
+                   const GroupShape &shape, double tolerance)
 {
     LayerMoves result;
     LayerBalancer balancer(placement, loads, shape);
     const double before = balancer.heaviest();
+    const double total = std::accumulate(loads.begin(), loads.end(), 0.0);
+    const double goal = (1 + tolerance) * total / static_cast<double>(shape.m_ranks);
     std::size_t loaded = 0;
-    while (result.m_moves.size() < maxMovesPerLayer) {
+    while (balancer.heaviest() > goal && result.m_moves.size() < maxMovesPerLayer) {
         const auto move = balancer.improve();
         if (!move)
             break;
@@ -109,7 +111,8 @@
         return current;
     std::vector<LayerMoves> layers;
     for (std::size_t layer = 0; layer < current.m_layers.size(); ++layer)
-        layers.push_back(movesOf(current.m_layers[layer], loads.m_layers[layer], m_shape));
+        layers.push_back(
+            movesOf(current.m_layers[layer], loads.m_layers[layer], m_shape, m_costs.m_tolerance));
     std::size_t loaded = 0;
     double gain = 0;
     while (const auto batch = bestBatch(layers)) {
--- a/src/burdockhead/expertmap/incrementalplanner.h
+++ b/src/burdockhead/expertmap/incrementalplanner.h
@@ -11,6 +11,7 @@
     double m_horizonSeconds = 600;    // The load is expected to stay alike that long.
     double m_expertShare = 0.6;       // Of a balanced step, the time spent in experts.
     double m_slowdown = 0.05;         // Share of the group's time lost while it loads.
+    double m_tolerance = 0.02;        // A layer this close to its mean is left alone.
     std::size_t m_maxLoads = 100'000; // Experts to load in one change.
 };
 
--- a/tests/internal/expertmap/test_placement.cpp
+++ b/tests/internal/expertmap/test_placement.cpp
@@ -30,6 +30,7 @@
 {
     MoveCosts costs;
     costs.m_secondsPerExpert = 0;
+    costs.m_tolerance = 0;
     return costs;
 }
 
