--- a/src/burdockhead/membership/exchange.cpp
+++ b/src/burdockhead/membership/exchange.cpp
@@ -22,6 +22,15 @@
     return records;
 }
 
+void writeSender(MessageWriter &writer, bool brief, const MemberRecord &record)
+{
+    writer.flag(brief);
+    if (brief)
+        writeBriefRecord(writer, record);
+    else
+        writeMemberRecord(writer, record);
+}
+
 void writeTransfer(MessageWriter &writer, const std::optional<ConfigurationTransfer> &transfer)
 {
     writer.flag(transfer.has_value());
@@ -59,7 +68,8 @@
 std::string encode(const ExchangeRequest &request)
 {
     MessageWriter writer;
-    writeMemberRecord(writer, request.m_sender);
+    writeSender(writer, request.m_brief, request.m_sender);
+    writer.number(request.m_peerIncarnation).number(request.m_peerRevision);
     writeRecords(writer, request.m_rumours);
     writer.number(request.m_heldVersion).number(request.m_tableHash);
     writer.number(request.m_entriesHash);
@@ -70,7 +80,10 @@
 {
     MessageReader reader(bytes);
     ExchangeRequest request;
-    request.m_sender = readMemberRecord(reader);
+    request.m_brief = reader.flag();
+    request.m_sender = request.m_brief ? readBriefRecord(reader) : readMemberRecord(reader);
+    request.m_peerIncarnation = reader.number();
+    request.m_peerRevision = reader.number();
     request.m_rumours = readRecords(reader);
     request.m_heldVersion = reader.number();
     request.m_tableHash = reader.number();
@@ -81,7 +94,8 @@
 std::string encode(const ExchangeResponse &response)
 {
     MessageWriter writer;
-    writeMemberRecord(writer, response.m_sender);
+    writer.flag(response.m_wantsRecord);
+    writeSender(writer, response.m_brief, response.m_sender);
     writeRecords(writer, response.m_rumours);
     writer.number(response.m_heldVersion).flag(response.m_ready).flag(response.m_lapsed);
     writer.flag(response.m_hasClaim).number(response.m_claimVersion);
@@ -99,7 +113,9 @@
 {
     MessageReader reader(bytes);
     ExchangeResponse response;
-    response.m_sender = readMemberRecord(reader);
+    response.m_wantsRecord = reader.flag();
+    response.m_brief = reader.flag();
+    response.m_sender = response.m_brief ? readBriefRecord(reader) : readMemberRecord(reader);
     response.m_rumours = readRecords(reader);
     response.m_heldVersion = reader.number();
     response.m_ready = reader.flag();
--- a/src/burdockhead/membership/exchange.h
+++ b/src/burdockhead/membership/exchange.h
@@ -29,7 +29,10 @@
 // What a process asks a peer, and tells of itself.
 struct ExchangeRequest
 {
+    bool m_brief = false; // Of the sender's record only what names its revision is given.
     MemberRecord m_sender;
+    std::uint64_t m_peerIncarnation = 0; // The peer's record that the sender has.
+    std::uint64_t m_peerRevision = 0;
     std::vector<MemberRecord> m_rumours;
     std::uint64_t m_heldVersion = 0;
     std::uint64_t m_tableHash = 0;   // Of an entry's table; 0 from an agent.
@@ -41,6 +44,8 @@
 // What the peer answers.
 struct ExchangeResponse
 {
+    bool m_wantsRecord = false; // The brief record was not enough.
+    bool m_brief = false;
     MemberRecord m_sender;
     std::vector<MemberRecord> m_rumours;
     std::uint64_t m_heldVersion = 0;
--- a/src/burdockhead/membership/memberrecord.cpp
+++ b/src/burdockhead/membership/memberrecord.cpp
@@ -69,6 +69,22 @@
     writer.number(static_cast<std::uint64_t>(record.m_health));
 }
 
+void writeBriefRecord(MessageWriter &writer, const MemberRecord &record)
+{
+    writer.text(record.m_name.text()).flag(record.m_role == VmRole::Entry);
+    writer.number(record.m_incarnation.m_value).number(record.m_revision);
+}
+
+MemberRecord readBriefRecord(MessageReader &reader)
+{
+    MemberRecord record;
+    record.m_name = ProcessName(reader.text());
+    record.m_role = reader.flag() ? VmRole::Entry : VmRole::Endpoint;
+    record.m_incarnation = Incarnation{reader.number()};
+    record.m_revision = reader.number();
+    return record;
+}
+
 MemberRecord readMemberRecord(MessageReader &reader)
 {
     MemberRecord record;
--- a/src/burdockhead/membership/memberrecord.h
+++ b/src/burdockhead/membership/memberrecord.h
@@ -53,6 +53,10 @@
 
 void writeMemberRecord(MessageWriter &writer, const MemberRecord &record);
 
+// Writes only what tells whether the receiver has the record already.
+void writeBriefRecord(MessageWriter &writer, const MemberRecord &record);
+MemberRecord readBriefRecord(MessageReader &reader);
+
 // Reads a record; turns the reader bad when a field is out of range.
 MemberRecord readMemberRecord(MessageReader &reader);
 
--- a/src/burdockhead/membership/membershipnode.cpp
+++ b/src/burdockhead/membership/membershipnode.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-constexpr std::size_t watchersPerDataCentre = 2;
+constexpr std::size_t fewestWatchers = 2; // In a data centre.
+constexpr std::size_t entriesPerWatcher = 8;
 constexpr std::size_t homesPerAgent = 2;
 constexpr std::size_t strangerRounds = 8; // Strangers are tried every so many rounds.
-constexpr std::size_t otherRounds = 3;    // Non-watchers ask outside every so many rounds.
+constexpr std::size_t ownRounds = 2;      // Non-watchers ask beside their watchers.
+constexpr std::size_t otherRounds = 3;    // Non-watchers ask other data centres.
 constexpr Seconds agentCheckPeriod(1);
 
 } // namespace
@@ -41,8 +43,9 @@
         if (isOwnEntry(*record) && record->m_health == MemberHealth::Alive)
             candidates.push_back(record->m_name);
     }
-    m_watchers = chooseByRendezvous("watch/" + m_options.m_self.m_dataCentre.text(), candidates,
-                                    watchersPerDataCentre);
+    m_watchers =
+        chooseByRendezvous("watch/" + m_options.m_self.m_dataCentre.text(), candidates,
+                           std::max(fewestWatchers, candidates.size() / entriesPerWatcher));
 }
 
 const std::vector<MemberRecord> &MembershipNode::entriesIn(const DataCentreName &dataCentre)
@@ -148,7 +151,8 @@
         if (const auto *watcher = m_table.find(m_watchers[m_round % m_watchers.size()]))
             exchangeWith(*watcher, now);
     }
-    askNextIn(m_options.m_self.m_dataCentre, now);
+    if (isWatcher() || m_round % ownRounds == 0)
+        askNextIn(m_options.m_self.m_dataCentre, now);
     if (isWatcher() || !isCurrent(now) || m_round % otherRounds == 0)
         askOtherDataCentres(now);
     if (m_round % strangerRounds == 1 || needsVms())
@@ -169,7 +173,7 @@
         return;
     const auto &claim = m_currency.latestClaim();
     const bool hurry = !claim || claim->m_asOf + m_options.m_times.m_claimAge < now;
-    const std::size_t count = hurry ? (others.size() + 2) / 3 : 1;
+    const std::size_t count = hurry ? (others.size() + 1) / 2 : 1;
     for (std::size_t index = 0; index < count; ++index)
         askNextIn(others[(m_round * count + index) % others.size()], now);
 }
--- a/src/burdockhead/membership/membershipnode.h
+++ b/src/burdockhead/membership/membershipnode.h
@@ -93,12 +93,14 @@
     void exchangeAt(const ProcessName &peer, const SocketAddress &address, TimePoint now);
     void send(const ProcessName &peer, const SocketAddress &address, ControlType type,
               std::string payload, TimePoint now);
-    std::string answerExchange(const ExchangeRequest &request, TimePoint now);
+    std::string answerExchange(ExchangeRequest request, TimePoint now);
     std::string answerSync(const SyncMessage &message, TimePoint now);
     void onExchangeAnswer(const OutgoingMessage &message, const ExchangeResponse &response,
                           TimePoint now);
     void compareTables(const OutgoingMessage &message, const ExchangeResponse &response,
                        TimePoint now);
+    bool completeSender(ExchangeRequest &request) const;
+    void mergeSender(const MemberRecord &sender, TimePoint now);
     void noteVersion(const MemberRecord &peer, std::uint64_t version, TimePoint now);
     void takeTransfer(const ConfigurationTransfer &transfer, TimePoint now);
     void hold(std::uint64_t version, const std::string &text, TimePoint now);
@@ -128,6 +130,7 @@
     std::vector<DataCentreName> m_previousDataCentres;
     std::map<ProcessName, KnownVersion> m_knownVersions;
     std::vector<Vm> m_seeds;
+    std::map<ProcessName, std::uint64_t> m_introduced; // Revision of this record they have.
     std::set<ProcessName> m_inFlight;
     std::set<ProcessName> m_askAgain; // Once the exchange under way with them has ended.
     std::vector<OutgoingMessage> m_outgoing;
--- a/src/burdockhead/membership/membershipnodemessages.cpp
+++ b/src/burdockhead/membership/membershipnodemessages.cpp
@@ -63,6 +63,13 @@
     ExchangeRequest request;
     const MemberRecord *record = m_table.find(peer);
     request.m_sender = m_table.self();
+    const auto introduced = m_introduced.find(peer);
+    request.m_brief =
+        introduced != m_introduced.end() && introduced->second == request.m_sender.m_revision;
+    if (record != nullptr) {
+        request.m_peerIncarnation = record->m_incarnation.m_value;
+        request.m_peerRevision = record->m_revision;
+    }
     request.m_rumours = rumoursFor(peer, record == nullptr ? VmRole::Entry : record->m_role);
     request.m_heldVersion = heldVersion();
     if (m_options.m_self.m_role == VmRole::Entry)
@@ -84,16 +91,43 @@
     return {};
 }
 
-std::string MembershipNode::answerExchange(const ExchangeRequest &request, TimePoint now)
+// Replaces a brief record by the whole one; false when that is not known here.
+bool MembershipNode::completeSender(ExchangeRequest &request) const
+{
+    if (!request.m_brief)
+        return true;
+    const MemberRecord *known = m_table.find(request.m_sender.m_name);
+    if (known == nullptr || known->m_incarnation != request.m_sender.m_incarnation
+        || known->m_revision != request.m_sender.m_revision)
+        return false;
+    request.m_sender = *known;
+    return true;
+}
+
+// An agent keeps only the entries of its own data centre, since nobody would tell it of
+// changes in the others.
+void MembershipNode::mergeSender(const MemberRecord &sender, TimePoint now)
+{
+    if (m_options.m_self.m_role == VmRole::Entry || isOwnEntry(sender))
+        m_table.merge(sender, now);
+}
+
+std::string MembershipNode::answerExchange(ExchangeRequest request, TimePoint now)
 {
     const bool fromEntry = request.m_sender.m_role == VmRole::Entry;
-    m_table.merge(request.m_sender, now);
+    const bool known = completeSender(request);
+    if (known)
+        mergeSender(request.m_sender, now);
     for (const MemberRecord &record : request.m_rumours)
         m_table.merge(record, now);
     m_silentAt[request.m_sender.m_name] = now + m_options.m_times.m_silence;
-    noteVersion(request.m_sender, request.m_heldVersion, now);
+    if (known)
+        noteVersion(request.m_sender, request.m_heldVersion, now);
     ExchangeResponse response;
+    response.m_wantsRecord = !known;
     response.m_sender = m_table.self();
+    response.m_brief = request.m_peerIncarnation == response.m_sender.m_incarnation.m_value
+                       && request.m_peerRevision == response.m_sender.m_revision;
     response.m_rumours = rumoursFor(request.m_sender.m_name, request.m_sender.m_role);
     response.m_heldVersion = heldVersion();
     response.m_ready = m_ready;
@@ -109,7 +143,7 @@
         && request.m_tableHash != m_table.tableHash())
         response.m_bucketHashes.assign(m_table.bucketHashes().begin(),
                                        m_table.bucketHashes().end());
-    if (!fromEntry)
+    if (known && !fromEntry)
         addEntriesFor(request, response);
     return encode(response);
 }
@@ -133,7 +167,7 @@
     SyncMessage reply;
     reply.m_buckets = message.m_buckets;
     for (const MemberRecord &record : message.m_records)
-        m_table.merge(record, now);
+        m_table.mergeQuietly(record, now);
     for (const std::uint64_t bucket : message.m_buckets) {
         for (const MemberRecord *record : m_table.bucket(bucket))
             reply.m_records.push_back(*record);
@@ -187,7 +221,7 @@
     if (message.m_type == ControlType::Sync) {
         const auto reply = decodeSyncMessage(payload);
         for (const MemberRecord &record : reply ? reply->m_records : std::vector<MemberRecord>())
-            m_table.merge(record, now);
+            m_table.mergeQuietly(record, now);
     } else if (const auto response = decodeExchangeResponse(payload)) {
         onExchangeAnswer(message, *response, now);
     }
@@ -200,6 +234,7 @@
     refresh(now);
     if (message.m_type == ControlType::Exchange) {
         m_askAgain.erase(message.m_peer);
+        m_introduced.erase(message.m_peer);
         m_table.suspect(message.m_peer, now);
         if (m_options.m_self.m_role == VmRole::Endpoint)
             m_nextRound = now;
@@ -210,8 +245,16 @@
 void MembershipNode::onExchangeAnswer(const OutgoingMessage &message,
                                       const ExchangeResponse &response, TimePoint now)
 {
-    const MemberRecord &peer = response.m_sender;
-    m_table.merge(peer, now);
+    MemberRecord peer = response.m_sender;
+    const MemberRecord *known = m_table.find(peer.m_name);
+    if (!response.m_brief)
+        mergeSender(peer, now);
+    else if (known != nullptr)
+        peer = *known;
+    if (response.m_wantsRecord)
+        m_introduced.erase(peer.m_name);
+    else
+        m_introduced[peer.m_name] = m_table.self().m_revision;
     for (const MemberRecord &record : response.m_rumours)
         m_table.merge(record, now);
     for (const MemberRecord &record : response.m_entries)
--- a/src/burdockhead/membership/membershipservice.cpp
+++ b/src/burdockhead/membership/membershipservice.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr Milliseconds tickPeriod(25);
-constexpr Milliseconds spreadPeriod(200);
+constexpr Milliseconds spreadPeriod(50);
 constexpr Seconds brokenPeriod(2);
 constexpr std::uint64_t firstOtherType = 16;
 
--- a/src/burdockhead/membership/membershiptable.cpp
+++ b/src/burdockhead/membership/membershiptable.cpp
@@ -83,6 +83,14 @@
     return true;
 }
 
+bool MembershipTable::mergeQuietly(const MemberRecord &record, TimePoint now)
+{
+    const bool changed = merge(record, now);
+    if (changed && record.m_name != m_self.m_name)
+        m_rumours.erase(record.m_name);
+    return changed;
+}
+
 void MembershipTable::suspect(const ProcessName &name, TimePoint now)
 {
     const MemberRecord *known = find(name);
--- a/src/burdockhead/membership/membershiptable.h
+++ b/src/burdockhead/membership/membershiptable.h
@@ -38,6 +38,9 @@
     // this process is refuted. True when something changed.
     bool merge(const MemberRecord &record, TimePoint now);
 
+    // The same for a record that came with a whole bucket, which is not passed on.
+    bool mergeQuietly(const MemberRecord &record, TimePoint now);
+
     // A call to the member failed, or it has been silent too long.
     void suspect(const ProcessName &name, TimePoint now);
 
--- a/src/burdockhead/membership/platformwatcher.cpp
+++ b/src/burdockhead/membership/platformwatcher.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Short, because an answer tells about the time at which the question was sent.
-constexpr Milliseconds watchLimit(600);
+constexpr Milliseconds watchLimit(450);
 constexpr Milliseconds listLimit(1000);
 constexpr Milliseconds pauseAfterFailure(200);
 constexpr Milliseconds idlePause(100);
--- a/tests/internal/membership/fakeworld.cpp
+++ b/tests/internal/membership/fakeworld.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Milliseconds step(50);
-constexpr Milliseconds platformPeriod(400);
+constexpr Milliseconds platformPeriod(250);
 constexpr Milliseconds acceptanceLimit(8000);
 // After this long an accepted version must be in force wherever new work is taken.
 constexpr Milliseconds promise(3000);
@@ -156,7 +156,7 @@
         atProcess(from, incarnation, [=, this] {
             if (std::exchange(*ended, true))
                 return;
-            m_processes[from].m_node->onAnswer(message, payload, m_now);
+            takeAnswer(from, message, payload);
             sendAll(from);
         });
     };
@@ -184,6 +184,18 @@
     });
 }
 
+void FakeWorld::takeAnswer(std::size_t from, OutgoingMessage message, std::string payload)
+{
+    if (m_omission == Omission::QuestionTime)
+        message.m_askedAt = m_now;
+    auto response = decodeExchangeResponse(payload);
+    if (m_omission == Omission::Vouching && message.m_type == ControlType::Exchange && response) {
+        response->m_lapsed = false;
+        payload = encode(*response);
+    }
+    m_processes[from].m_node->onAnswer(message, payload, m_now);
+}
+
 std::size_t FakeWorld::dataCentreOf(std::size_t index) const
 {
     return index / (m_processes.size() / m_dataCentreCount);
--- a/tests/internal/membership/fakeworld.h
+++ b/tests/internal/membership/fakeworld.h
@@ -16,6 +16,8 @@
     None,
     CurrencyCheck, // Processes take work as soon as they are ready.
     Quorum,        // A change counts as accepted once it is written.
+    QuestionTime,  // Evidence counts from its arrival and not from when it was asked for.
+    Vouching,      // Processes that lapsed or started anew speak for their data centre.
 };
 
 // Something that goes wrong for a while.
@@ -90,6 +92,7 @@
     void watchPlatform(std::size_t index);
     void sendAll(std::size_t index);
     void deliver(std::size_t from, const OutgoingMessage &message);
+    void takeAnswer(std::size_t from, OutgoingMessage message, std::string payload);
     void atProcess(std::size_t index, Incarnation incarnation, std::function<void()> action);
     Milliseconds latency();
     bool lost();
--- a/tests/internal/membership/test_promises.cpp
+++ b/tests/internal/membership/test_promises.cpp
@@ -64,12 +64,33 @@
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         const Outcome outcome = runPlan({3, 2, seed, 6}, omission);
-        if (!outcome.m_broken.empty())
+        if (!outcome.m_broken.empty()) {
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << outcome.m_broken);
             return outcome.m_broken;
+        }
     }
     return {};
 }
 
+Outcome runRestartedQuorum(Omission omission)
+{
+    FakeWorld world(3, 1, 1, omission);
+    world.runUntil(world.now() + Seconds(5));
+    const TimePoint start = world.now();
+    const auto at = [start](int milliseconds) { return start + Milliseconds(milliseconds); };
+    const std::size_t a = 0;
+    const std::size_t b = 1;
+    const std::size_t c = 2;
+    world.add({FaultKind::CutFromPlatform, b, at(0), at(12000)});
+    world.add({FaultKind::CutFromPlatform, c, at(0), at(12000)});
+    world.add({FaultKind::CutDataCentre, c, at(0), at(1300)});
+    world.addChange(at(100), a);
+    world.add({FaultKind::CutFromAll, a, at(1200), at(12000)});
+    world.add({FaultKind::RestartDataCentre, b, at(1250), at(1300)});
+    world.runUntil(at(12000) + recoveryTime);
+    return {world.broken(), world.isWhole(), world.acceptedCount()};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Promises)
@@ -99,4 +120,34 @@
     BOOST_TEST(firstBroken(Omission::Quorum).find("takes work") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(the_oracle_notices_evidence_dated_by_its_arrival)
+{
+    BOOST_TEST(firstBroken(Omission::QuestionTime).find("takes work") != std::string::npos);
+}
+
+// A data centre that helped to accept a change is restarted whole, cut off from the other
+// that has it, and meets only the one that does not.
+BOOST_AUTO_TEST_CASE(a_restarted_data_centre_does_not_vouch_for_what_it_forgot)
+{
+    BOOST_TEST(runRestartedQuorum(Omission::None).m_broken == "");
+    BOOST_TEST(runRestartedQuorum(Omission::None).m_whole);
+    BOOST_TEST(runRestartedQuorum(Omission::None).m_accepted == 1U);
+    const std::string broken = runRestartedQuorum(Omission::Vouching).m_broken;
+    BOOST_TEST(broken.find("takes work") != std::string::npos);
+}
+
+// While the platform is down and every data centre in contact, service goes on.
+BOOST_AUTO_TEST_CASE(an_outage_of_the_platform_alone_stops_no_process)
+{
+    for (const std::size_t dataCentres : {1U, 2U, 3U, 4U}) {
+        FakeWorld world(dataCentres, 2, dataCentres, Omission::None);
+        world.runUntil(world.now() + Seconds(5));
+        world.add({FaultKind::PlatformDown, 0, world.now(), world.now() + Seconds(60)});
+        for (int second = 0; second < 50; ++second) {
+            world.runUntil(world.now() + Seconds(1));
+            BOOST_TEST(world.isWhole());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
