--- a/src/burdockhead/settings/configurationcheck.cpp
+++ b/src/burdockhead/settings/configurationcheck.cpp
@@ -28,6 +28,9 @@
 
     void run()
     {
+        if (m_document.m_sections.empty())
+            m_diagnostics.push_back({m_fileName, 0, "", "", "the configuration declares nothing",
+                                     allowedConfigurationSections});
         checkRepeatedKinds();
         for (const EndpointGroup &group : m_configuration.m_groups)
             checkGroup(group);
--- a/src/burdockhead/settings/inidocument.cpp
+++ b/src/burdockhead/settings/inidocument.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // The bytes of a line that the library reads whole, its end and a terminator included.
-constexpr int maxLineBytes = 8192;
+constexpr int maxLineBytes = 65536;
 
 constexpr std::string_view blanks = " \t\r\n\f\v";
 
--- a/src/burdockhead/settings/keybinding.h
+++ b/src/burdockhead/settings/keybinding.h
@@ -135,8 +135,10 @@
 std::string printKeys(const std::vector<KeyBinding<Target>> &bindings, const Target &target)
 {
     std::string text;
-    for (const KeyBinding<Target> &binding : bindings)
-        text += binding.m_key + " = " + binding.m_print(target) + "\n";
+    for (const KeyBinding<Target> &binding : bindings) {
+        const std::string value = binding.m_print(target);
+        text += binding.m_key + (value.empty() ? " =" : " = ") + value + "\n";
+    }
     return text;
 }
 
--- a/tests/internal/settings/test_configurationtext.cpp
+++ b/tests/internal/settings/test_configurationtext.cpp
@@ -104,6 +104,12 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_empty_text_is_refused)
+{
+    BOOST_TEST(
+        problemsOf("; nothing\n").starts_with("f.ini:0: the configuration declares nothing"));
+}
+
 BOOST_AUTO_TEST_CASE(any_text_is_read_or_refused_with_a_reason)
 {
     checkProperty("arbitrary text", [](const std::string &text) {
