--- a/examples/settings.py
+++ b/examples/settings.py
@@ -31,6 +31,7 @@
 [endpoint]
 name = {name}
 url = http://127.0.0.1:{endpoint}
+probe_path = /load
 """
 
 SEEDS = """
--- a/src/burdockhead/entry/entryoperators.cpp
+++ b/src/burdockhead/entry/entryoperators.cpp
@@ -109,18 +109,15 @@
 void EntryOperators::listMembers(HttpResponder &responder)
 {
     nlohmann::json members = nlohmann::json::array();
-    for (const EntryInfo &entry : m_membership.entries())
-        members.push_back({{"name", entry.m_name.text()},
-                           {"role", "entry"},
-                           {"data_centre", entry.m_dataCentre.text()},
-                           {"control", entry.m_control.toString()},
-                           {"incarnation", entry.m_incarnation.m_value}});
-    for (const ReplicaAnnouncement &agent : m_membership.announcements())
-        members.push_back({{"name", agent.m_endpoint.text()},
-                           {"role", "agent"},
-                           {"data_centre", agent.m_dataCentre.text()},
-                           {"link", agent.m_link.toString()},
-                           {"incarnation", agent.m_incarnation.m_value}});
+    for (const MemberRecord &member : m_membership.members())
+        members.push_back(
+            {{"name", member.m_name.text()},
+             {"role", member.m_role == VmRole::Entry ? "entry" : "agent"},
+             {"data_centre", member.m_dataCentre.text()},
+             {"operators", member.m_operators.toString()},
+             {"control", member.m_control.toString()},
+             {member.m_role == VmRole::Entry ? "callers" : "link", member.m_service.toString()},
+             {"incarnation", member.m_incarnation.m_value}});
     responder.respond({okStatus, {{"Content-Type", "application/json"}}, members.dump()});
 }
 
--- a/src/burdockhead/membership/memberrecord.cpp
+++ b/src/burdockhead/membership/memberrecord.cpp
@@ -64,6 +64,7 @@
     writer.text(record.m_dataCentre.text());
     writeAddress(writer, record.m_control);
     writeAddress(writer, record.m_service);
+    writeAddress(writer, record.m_operators);
     writer.text(record.m_endpoint.text()).number(record.m_incarnation.m_value);
     writer.number(record.m_revision).flag(record.m_leaving);
     writer.number(static_cast<std::uint64_t>(record.m_health));
@@ -93,6 +94,7 @@
     record.m_dataCentre = DataCentreName(reader.text());
     record.m_control = readAddress(reader);
     record.m_service = readAddress(reader);
+    record.m_operators = readAddress(reader);
     record.m_endpoint = EndpointName(reader.text());
     record.m_incarnation = Incarnation{reader.number()};
     record.m_revision = reader.number();
--- a/src/burdockhead/membership/memberrecord.h
+++ b/src/burdockhead/membership/memberrecord.h
@@ -30,6 +30,7 @@
     SocketAddress m_control;
     SocketAddress m_service; // An entry's address for callers, an agent's link.
     EndpointName m_endpoint; // Agents only.
+    SocketAddress m_operators;
     Incarnation m_incarnation;
     std::uint64_t m_revision = 0;
     bool m_leaving = false;
--- a/src/burdockhead/membership/membershipservice.cpp
+++ b/src/burdockhead/membership/membershipservice.cpp
@@ -26,6 +26,7 @@
     record.m_dataCentre = options.m_dataCentre;
     record.m_control = options.m_control;
     record.m_service = options.m_caller;
+    record.m_operators = options.m_operators;
     record.m_incarnation = options.m_incarnation;
     if (options.m_announcement) {
         record.m_service = options.m_announcement->m_link;
@@ -356,6 +357,17 @@
     return entries;
 }
 
+std::vector<MemberRecord> MembershipService::members() const
+{
+    const std::lock_guard lock(m_d->m_mutex);
+    std::vector<MemberRecord> members;
+    for (const VmRole role : {VmRole::Entry, VmRole::Endpoint}) {
+        for (const MemberRecord *record : m_d->m_node.table().members(role))
+            members.push_back(*record);
+    }
+    return members;
+}
+
 std::vector<ReplicaAnnouncement> MembershipService::announcements() const
 {
     const std::lock_guard lock(m_d->m_mutex);
--- a/src/burdockhead/membership/membershipservice.h
+++ b/src/burdockhead/membership/membershipservice.h
@@ -5,6 +5,7 @@
 #include <burdockhead/configuration/applyresult.h>
 #include <burdockhead/configuration/versionedconfiguration.h>
 #include <burdockhead/membership/entryinfo.h>
+#include <burdockhead/membership/memberrecord.h>
 #include <burdockhead/membership/membershipcounters.h>
 #include <burdockhead/membership/membershipoptions.h>
 
@@ -68,6 +69,9 @@
     // on entries; on agents only those of their own data centre.
     std::vector<EntryInfo> entries() const;
 
+    // Every process that is known and not dead; only entries know them all.
+    std::vector<MemberRecord> members() const;
+
     // Every agent that is known and not dead. Only entries know agents.
     std::vector<ReplicaAnnouncement> announcements() const;
 
