--- /dev/null
+++ b/tests/internal/expertmap/childprocess.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace burdockhead {
+
+// A program started for a test and killed with it.
+class ChildProcess
+{
+public:
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
+    ~ChildProcess();
+    ChildProcess(const ChildProcess &) = delete;
+    ChildProcess &operator=(const ChildProcess &) = delete;
+
+private:
+    pid_t m_pid = -1;
+};
+
+} // namespace burdockhead
