--- a/src/burdockhead/observe/metrics.cpp
+++ b/src/burdockhead/observe/metrics.cpp
@@ -35,12 +35,15 @@
     return fmt::format("{}{} {}\n", name, labelText(labels), value);
 }
 
+// A described metric is printed as what it is described to be, since a total that another
+// part counts is kept here as a gauge that is set before each print.
 std::string head(const std::string &name, const char *type)
 {
-    std::string text;
-    if (const MetricDescription *description = findMetricDescription(name))
-        text = fmt::format("# HELP {} {}\n", name, description->m_meaning);
-    return text + fmt::format("# TYPE {} {}\n", name, type);
+    const MetricDescription *description = findMetricDescription(name);
+    if (description == nullptr)
+        return fmt::format("# TYPE {} {}\n", name, type);
+    return fmt::format("# HELP {} {}\n# TYPE {} {}\n", name, description->m_meaning, name,
+                       description->m_type);
 }
 
 std::string samples(const std::string &name, const MetricLabels &labels, const Counter &counter)
--- a/tests/internal/observe/test_metrics.cpp
+++ b/tests/internal/observe/test_metrics.cpp
@@ -27,6 +27,14 @@
                   "# TYPE some_seconds summary\nsome_seconds_sum 0.25\nsome_seconds_count 1\n");
 }
 
+BOOST_AUTO_TEST_CASE(a_described_total_is_printed_as_a_counter_however_it_is_kept)
+{
+    Metrics metrics;
+    metrics.gauge("process_cpu_seconds_total").set(1);
+    BOOST_TEST(metrics.toPrometheus().ends_with("# TYPE process_cpu_seconds_total counter\n"
+                                                "process_cpu_seconds_total 1\n"));
+}
+
 BOOST_AUTO_TEST_CASE(label_sets_beyond_the_bound_share_one_series)
 {
     Metrics metrics(2);
