--- a/src/burdockhead/routing/choicecontext.cpp
+++ b/src/burdockhead/routing/choicecontext.cpp
@@ -108,9 +108,9 @@
     const DataCentreRecord &dataCentre = m_table.dataCentreOf(replica);
     if (!replica.m_breaker.allows(m_now) || !dataCentre.m_breaker.allows(m_now))
         return GateVerdict::Failing;
-    const bool beyondShare = !dataCentre.m_ramp.permits(dataCentre.m_ownInFlight)
-                             || (replica.isCold()
-                                 && replica.m_load.ownInFlight() >= m_table.coldShare(replica));
+    const bool beyondShare =
+        !dataCentre.m_ramp.permits(dataCentre.m_ownInFlight)
+        || (replica.isCold() && replica.m_load.ownInFlight() >= m_table.coldShare(replica));
     if (beyondShare && !m_permitCold)
         return GateVerdict::Cold;
     return isFull(replica) ? GateVerdict::Full : GateVerdict::Permitted;
--- a/tests/standins/engine/standinsupport.cpp
+++ b/tests/standins/engine/standinsupport.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-
 sigset_t terminationSignals()
 {
     sigset_t signals;
