Let a responder outlive its server, and count entries when members change

Cause: a responder kept beyond its server's end finished its response on freed memory; a test of the commands hung for 10 minutes on it. And the router learned the number of entries only with a configuration, mostly before it knew the others.

Ruled out: stopping flows first (a drain that runs out leaves some by design).

--- a/src/burdockhead/entry/agentlinks.cpp
+++ b/src/burdockhead/entry/agentlinks.cpp
@@ -43,7 +43,7 @@
     {}
 
     void open(const SocketAddress &address);
-    void connected(const SocketAddress &address, FrameConnectionPointer connection);
+    void connected(const SocketAddress &address, const FrameConnectionPointer &connection);
     void deliver(const SocketAddress &address, const FrameConnectionPointer &from,
                  const Frame &frame);
     void lost(const SocketAddress &address, const FrameConnectionPointer &from, LinkLoss loss);
@@ -60,13 +60,14 @@
     connectFrames(m_pool, address, Clock::now() + connectLimit,
                   [self = weak_from_this(), address](FrameConnectionPointer connection) {
                       if (const auto strong = self.lock())
-                          strong->connected(address, std::move(connection));
+                          strong->connected(address, connection);
                       else if (connection)
                           connection->close();
                   });
 }
 
-void AgentLinks::Private::connected(const SocketAddress &address, FrameConnectionPointer connection)
+void AgentLinks::Private::connected(const SocketAddress &address,
+                                    const FrameConnectionPointer &connection)
 {
     if (!connection) {
         lost(address, nullptr, LinkLoss::NeverConnected);
--- a/src/burdockhead/entry/entryprocess.cpp
+++ b/src/burdockhead/entry/entryprocess.cpp
@@ -152,7 +152,10 @@
         [this](const ConfigurationPointer &configuration) { applyConfiguration(configuration); });
     m_membership.onAnnouncement([this](const ReplicaAnnouncement &announcement) {
         m_directory.lock()->announce(announcement);
-        m_router.lock()->announce(announcement, Clock::now());
+        const auto entries = static_cast<unsigned>(m_membership.entries().size());
+        const auto router = m_router.lock();
+        router->announce(announcement, Clock::now());
+        router->setEntryCount(std::max(1U, entries));
     });
     if (!m_operators.start(failure.m_reason) || !m_membership.start(failure))
         return false;
--- a/src/burdockhead/http/httpserver.cpp
+++ b/src/burdockhead/http/httpserver.cpp
@@ -36,8 +36,10 @@
 class RestinioResponder : public HttpResponder
 {
 public:
-    explicit RestinioResponder(restinio::request_handle_t request)
-        : m_request(std::move(request))
+    // The owner holds what the request's connection lives on.
+    RestinioResponder(restinio::request_handle_t request, std::shared_ptr<void> owner)
+        : m_owner(std::move(owner))
+        , m_request(std::move(request))
         , m_state(std::make_shared<WriteState>())
     {}
 
@@ -105,6 +107,7 @@
         m_request.reset();
     }
 
+    std::shared_ptr<void> m_owner; // Destroyed last.
     std::mutex m_mutex;
     restinio::request_handle_t m_request;
     std::optional<ChunkedBuilder> m_builder;
@@ -138,7 +141,7 @@
 
 } // namespace
 
-struct HttpServer::Private
+struct HttpServer::Private : public std::enable_shared_from_this<Private>
 {
     HttpServerOptions m_options;
     HttpHandler m_handler;
@@ -147,15 +150,14 @@
     std::vector<std::thread> m_threads;
     std::string m_lastError;
 
-    restinio::request_handling_status_t handle(restinio::request_handle_t handle) const;
+    restinio::request_handling_status_t handle(restinio::request_handle_t handle);
     void configure(restinio::server_settings_t<ServerTraits> &settings);
 };
 
-restinio::request_handling_status_t
-HttpServer::Private::handle(restinio::request_handle_t handle) const
+restinio::request_handling_status_t HttpServer::Private::handle(restinio::request_handle_t handle)
 {
     HttpRequest request = readRequest(handle);
-    auto responder = std::make_shared<RestinioResponder>(std::move(handle));
+    auto responder = std::make_shared<RestinioResponder>(std::move(handle), shared_from_this());
     if (request.m_body.size() > m_options.m_maxBodyBytes
         || request.m_headers.size() > m_options.m_maxHeaderCount)
         responder->respond(tooLarge());
@@ -180,7 +182,7 @@
 }
 
 HttpServer::HttpServer(const HttpServerOptions &options, HttpHandler handler)
-    : m_d(std::make_unique<Private>())
+    : m_d(std::make_shared<Private>())
 {
     m_d->m_options = options;
     m_d->m_handler = std::move(handler);
--- a/src/burdockhead/http/httpserver.h
+++ b/src/burdockhead/http/httpserver.h
@@ -32,7 +32,7 @@
 {
 public:
     HttpServer(const HttpServerOptions &options, HttpHandler handler);
-    // Stops the server; open responses are dropped.
+    // Stops the server; open responses are dropped. Their responders may live on.
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -47,7 +47,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> m_d;
+    std::shared_ptr<Private> m_d; // Kept by open responders too.
 };
 
 } // namespace burdockhead
--- a/tests/internal/http/test_httproundtrip.cpp
+++ b/tests/internal/http/test_httproundtrip.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <freeport.h>
+#include <future>
 
 using namespace burdockhead;
 
@@ -66,6 +67,51 @@
     BOOST_TEST(answer->m_status == 413);
 }
 
+BOOST_AUTO_TEST_CASE(a_responder_may_outlive_its_server)
+{
+    std::shared_ptr<HttpResponder> kept;
+    {
+        HttpServerOptions options;
+        options.m_listen = freeLoopbackAddress();
+        std::promise<void> arrived;
+        HttpServer server(options, [&](const HttpRequest &, const auto &responder) {
+            kept = responder;
+            arrived.set_value();
+        });
+        BOOST_REQUIRE(server.start());
+        HttpClient client;
+        client.start(callTo(options.m_listen, "/", ""), {});
+        arrived.get_future().get();
+    }
+    kept->respond({200, {}, "late"});
+    kept.reset();
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_was_not_sent_and_a_cut_answer_was)
+{
+    const auto outcomeOf = [](const SocketAddress &address) {
+        HttpClient client;
+        std::promise<HttpOutcome> done;
+        HttpCall call = callTo(address, "/", "body");
+        call.m_neverResend = true;
+        HttpCallHandlers handlers;
+        handlers.m_onDone = [&](const HttpOutcome &outcome) { done.set_value(outcome); };
+        client.start(call, std::move(handlers));
+        return done.get_future().get();
+    };
+    BOOST_TEST(!outcomeOf(freeLoopbackAddress()).m_sent);
+    HttpServerOptions options;
+    options.m_listen = freeLoopbackAddress();
+    options.m_handleLimit = Milliseconds(100);
+    std::shared_ptr<HttpResponder> kept;
+    HttpServer server(options,
+                      [&](const HttpRequest &, const auto &responder) { kept = responder; });
+    BOOST_REQUIRE(server.start());
+    const HttpOutcome cut = outcomeOf(options.m_listen);
+    BOOST_TEST(!cut.m_completed);
+    BOOST_TEST(cut.m_sent);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_to_a_closed_port_fails_without_a_connection)
 {
     HttpClient client;
