--- a/tests/public/operators/test_operatorslibrary.cpp
+++ b/tests/public/operators/test_operatorslibrary.cpp
@@ -84,10 +84,47 @@
     return "";
 }
 
+// What the key table allows, as the library would say it.
+std::string allowedFor(const std::string &section, const std::string &key)
+{
+    const std::string start = "a whole number from ";
+    for (const KeyDescription &description : configurationKeys()) {
+        if (description.m_section == section && description.m_key == key)
+            return "; allowed: " + description.m_allowed.substr(start.size());
+    }
+    return "no such key";
+}
+
+declare::ModelGroup groupWith(std::uint32_t ranks, std::uint32_t layers, std::uint32_t experts,
+                              std::uint32_t slots)
+{
+    return {"n", "x", {}, {"k"}, {}, ranks, layers, experts, slots};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OperatorsLibrary)
 
+BOOST_AUTO_TEST_CASE(the_library_has_the_bounds_of_the_key_tables)
+{
+    constexpr std::uint32_t tooMany = 4000000;
+    const auto holds = [](const std::string &refusal, const char *section, const char *key) {
+        BOOST_TEST(refusal.ends_with(allowedFor(section, key)), refusal << " for " << key);
+    };
+    using declare::Repeatable;
+    holds(refusalOf(declare::Kind{"x", Repeatable::Yes, tooMany}), "kind", "weight");
+    holds(refusalOf(declare::Kind{"x", Repeatable::Yes, 1, tooMany}), "kind", "priority");
+    holds(refusalOf(declare::Kind{"x", Repeatable::Yes, 1, 1, std::chrono::hours(99)}), "kind",
+          "deadline_ms");
+    holds(refusalOf(declare::Workspace{"v", tooMany}), "workspace", "share");
+    holds(refusalOf(declare::Service{"t", {"k"}, {1, tooMany, 1}}), "service", "warm_limit");
+    holds(refusalOf(declare::Service{"t", {"k"}, {1, 1, tooMany}}), "service", "queue_limit");
+    holds(refusalOf(groupWith(tooMany, 1, 1, 1)), "model_group", "ranks");
+    holds(refusalOf(groupWith(1, tooMany, 1, 1)), "model_group", "layers");
+    holds(refusalOf(groupWith(1, 1, tooMany, 1)), "model_group", "experts_per_layer");
+    holds(refusalOf(groupWith(1, 1, 1, tooMany)), "model_group", "expert_slots_per_rank");
+}
+
 BOOST_AUTO_TEST_CASE(whatever_the_library_prints_is_accepted_and_loses_nothing)
 {
     checkProperty("round trip", [] {
