--- a/tests/internal/expertmap/gatesimulation.cpp
+++ b/tests/internal/expertmap/gatesimulation.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t marginSteps = 8;
+constexpr Milliseconds roundTime(100);
 constexpr int recoveryRounds = 200;
 constexpr std::size_t maxDrivers = 6;
 constexpr std::size_t maxPackets = 12;
@@ -263,14 +264,21 @@
         if (idle)
             startDriver(0);
         recoveryRound();
+        if (!hasRecovered(stepsBefore, changesBefore))
+            m_recoveryTime = (round + 2) * roundTime; // In the next round at the earliest.
     }
+    return hasRecovered(stepsBefore, changesBefore);
+}
+
+bool GateSimulation::hasRecovered(std::uint64_t stepsBefore, std::size_t changesBefore) const
+{
     return stepsBegun() > stepsBefore + marginSteps && m_liveChanges.size() > changesBefore
            && m_drivers.back().m_driver.state() == DriverState::Live;
 }
 
 void GateSimulation::recoveryRound()
 {
-    m_now += Milliseconds(100);
+    m_now += roundTime;
     for (std::uint32_t rank = 0; rank < rankCount; ++rank)
         tickAgent(rank);
     send(m_drivers.size() - 1, true, m_drivers.back().m_driver.tick(m_now, m_random));
--- a/tests/internal/expertmap/gatesimulation.h
+++ b/tests/internal/expertmap/gatesimulation.h
@@ -32,6 +32,9 @@
     // Ends all faults; true when the group steps on and a new change goes live in time.
     bool recovers();
 
+    // Virtual time from the end of the faults until that was so.
+    Milliseconds recoveryTime() const { return m_recoveryTime; }
+
     // True when two ranks used different maps in a step, or a step an older map than one
     // before it.
     bool violated() const { return m_violated; }
@@ -75,6 +78,7 @@
     void tryBegin(std::uint32_t rank);
     void noteStep(std::uint32_t rank, std::uint64_t step);
     void recoveryRound();
+    bool hasRecovered(std::uint64_t stepsBefore, std::size_t changesBefore) const;
 
     RankActorFactory m_factory;
     std::vector<std::unique_ptr<Engine>> m_engines;
@@ -86,6 +90,7 @@
     std::uint64_t m_fence = 0;
     std::map<std::uint64_t, std::uint64_t> m_versions; // By step.
     std::set<ChangeId> m_liveChanges;
+    Milliseconds m_recoveryTime{0};
     bool m_violated = false;
 };
 
--- a/tests/internal/expertmap/test_stepgate.cpp
+++ b/tests/internal/expertmap/test_stepgate.cpp
@@ -1,5 +1,6 @@
 #include "gatesimulation.h"
 
+#include <algorithm>
 #include <property.h>
 
 using namespace burdockhead;
@@ -52,6 +53,7 @@
 BOOST_AUTO_TEST_CASE(long_runs_from_fixed_seeds_hold_and_see_changes_go_live)
 {
     std::size_t live = 0;
+    std::vector<Milliseconds> recoveries;
     for (std::uint64_t seed = 1; seed <= runCount; ++seed) {
         GateSimulation simulation(&makeAgent);
         for (const std::uint32_t event : drawEvents(seed))
@@ -59,7 +61,12 @@
         live += simulation.changesLive();
         BOOST_REQUIRE_MESSAGE(!simulation.violated(), "seed " << seed);
         BOOST_REQUIRE_MESSAGE(simulation.recovers(), "no recovery, seed " << seed);
+        BOOST_REQUIRE_MESSAGE(!simulation.violated(), "after the faults, seed " << seed);
+        recoveries.push_back(simulation.recoveryTime());
     }
+    std::sort(recoveries.begin(), recoveries.end());
+    BOOST_TEST_MESSAGE("recovery in ms, median " << recoveries[runCount / 2].count() << ", longest "
+                                                 << recoveries.back().count());
     BOOST_TEST_MESSAGE("changes that went live under faults: " << live);
     BOOST_TEST(live > 100U);
 }
