Number the step gate's records, so that late orders do no harm

An order to the engine that gave no answer may still arrive, after a later one, and bring back a promise or a map that was given up. Records now carry a sequence number, which is the order's fencing number, and an engine that checks refuses one that is not above the last. The record's encoding changed; nothing keeps old ones.

--- a/src/burdockhead/expertmap/expertmapagent.cpp
+++ b/src/burdockhead/expertmap/expertmapagent.cpp
@@ -123,7 +123,13 @@
 
 std::optional<StepEngineState> ExpertMapAgent::store(const GateRecord &record)
 {
-    return withoutLatePromise(m_engine.store(record));
+    return withoutLatePromise(storeNext(record));
+}
+
+std::optional<StepEngineState> ExpertMapAgent::storeNext(GateRecord record)
+{
+    ++record.m_sequence;
+    return m_engine.store(record);
 }
 
 // An agent that died between storing a promise and this check leaves it to the next one.
@@ -132,7 +138,7 @@
 {
     if (!state || !RankGate::isLate(state->m_record, state->m_nextStep))
         return state;
-    return m_engine.store(RankGate::withdraw(state->m_record));
+    return storeNext(RankGate::withdraw(state->m_record));
 }
 
 // Stores what a vote rests on and then gives the vote; gives none when storing failed.
--- a/src/burdockhead/expertmap/expertmapagent.h
+++ b/src/burdockhead/expertmap/expertmapagent.h
@@ -45,6 +45,7 @@
 
     std::optional<StepEngineState> read();
     std::optional<StepEngineState> store(const GateRecord &record);
+    std::optional<StepEngineState> storeNext(GateRecord record);
     std::optional<StepEngineState> withoutLatePromise(std::optional<StepEngineState> state);
     Reply send(const GateDecision &decision, const MapChange &change);
     void resolve(const ChangeId &id, bool live);
--- a/src/burdockhead/expertmap/gaterecord.cpp
+++ b/src/burdockhead/expertmap/gaterecord.cpp
@@ -6,6 +6,7 @@
 std::string GateRecord::encode() const
 {
     MessageWriter writer;
+    writer.number(m_sequence);
     writeChangeId(writer, m_highest);
     writeMapChange(writer, m_live);
     writer.flag(m_promise.has_value());
@@ -20,6 +21,7 @@
     if (bytes.empty())
         return record;
     MessageReader reader(bytes);
+    record.m_sequence = reader.number();
     record.m_highest = readChangeId(reader);
     record.m_live = readMapChange(reader);
     if (reader.flag())
--- a/src/burdockhead/expertmap/gaterecord.h
+++ b/src/burdockhead/expertmap/gaterecord.h
@@ -13,7 +13,8 @@
 // it implies is sent.
 struct GateRecord
 {
-    ChangeId m_highest;                 // The highest change voted on.
+    std::uint64_t m_sequence = 0; // One more with each store; an engine that checks refuses others.
+    ChangeId m_highest;           // The highest change voted on.
     std::optional<MapChange> m_promise; // Promised, verdict unknown: no step from there on.
     MapChange m_live;                   // The last change that went live.
 
--- a/src/burdockhead/expertmap/httpstepengine.cpp
+++ b/src/burdockhead/expertmap/httpstepengine.cpp
@@ -78,8 +78,7 @@
                           {"version", record.m_live.m_version},
                           {"from_step", record.m_live.m_step},
                           {"record", toHex(record.encode())}};
-    const Json order = {
-        {"type", "step_gate"}, {"fence", record.m_highest.m_fence}, {"payload", payload}};
+    const Json order = {{"type", "step_gate"}, {"fence", record.m_sequence}, {"payload", payload}};
     const auto step = stepOf(call("/orders", order.dump()));
     if (!step)
         return std::nullopt;
--- a/src/burdockhead/expertmap/stepengine.h
+++ b/src/burdockhead/expertmap/stepengine.h
@@ -25,7 +25,10 @@
     virtual std::optional<StepEngineState> read() = 0;
 
     // Stores a record. From then on no step from its limit on begins, and each step uses the
-    // map version that the record names. The state is the one right after storing.
+    // map version that the record names. An engine that checks refuses a record whose sequence
+    // number is not above the stored one's, so that an order that was long under way does no
+    // harm; others must not apply an order after a later one. The state is the one right after
+    // storing.
     virtual std::optional<StepEngineState> store(const GateRecord &record) = 0;
 
     // Begins to load a map's experts, or goes on doing so; true once all are loaded.
--- a/tests/internal/expertmap/gatesimulation.cpp
+++ b/tests/internal/expertmap/gatesimulation.cpp
@@ -20,8 +20,9 @@
 class GateSimulation::Engine : public StepEngine
 {
 public:
-    explicit Engine(GateSimulation &simulation)
+    Engine(GateSimulation &simulation, bool checks)
         : m_simulation(simulation)
+        , m_checks(checks)
     {}
 
     std::optional<StepEngineState> read() override { return m_state; }
@@ -36,7 +37,12 @@
                 for (std::uint32_t rank = 0; rank < rankCount; ++rank)
                     m_simulation.tryBegin(rank);
         }
-        m_state.m_record = record;
+        if (fault == Fault::AppliedLate) {
+            m_late = record;
+            return std::nullopt;
+        }
+        if (!apply(record))
+            return std::nullopt;
         if (fault == Fault::AgentDies)
             throw AgentCrash();
         if (fault == Fault::AnswerLost)
@@ -46,6 +52,14 @@
 
     bool stage(const ChangeId &, const ExpertMap &) override { return true; }
 
+    bool apply(const GateRecord &record)
+    {
+        if (m_checks && record.m_sequence <= m_state.m_record.m_sequence)
+            return false;
+        m_state.m_record = record;
+        return true;
+    }
+
     bool mayBegin() const
     {
         const std::uint64_t limit = m_state.m_record.stepLimit();
@@ -58,21 +72,24 @@
         AnswerLost,
         AgentDies,
         StepsBefore,
+        AppliedLate,
     };
 
     StepEngineState m_state;
     Fault m_fault = Fault::None;
+    std::optional<GateRecord> m_late; // An order that is long under way.
 
 private:
     GateSimulation &m_simulation;
+    bool m_checks;
 };
 
-GateSimulation::GateSimulation(RankActorFactory factory)
+GateSimulation::GateSimulation(RankActorFactory factory, bool enginesCheck)
     : m_factory(factory)
     , m_random(1)
 {
     for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
-        m_engines.push_back(std::make_unique<Engine>(*this));
+        m_engines.push_back(std::make_unique<Engine>(*this, enginesCheck));
         m_actors.push_back(factory(rank, rankCount, *m_engines[rank]));
     }
 }
@@ -86,7 +103,7 @@
         std::uint32_t m_share;
         Event m_event;
     };
-    static constexpr std::array<Weight, 11> weights = {{
+    static constexpr std::array<Weight, 12> weights = {{
         {1200, &GateSimulation::deliverOne},
         {200, &GateSimulation::tickDriver},
         {200, &GateSimulation::tickAgent},
@@ -98,8 +115,9 @@
         {40, &GateSimulation::breakEngineCall},
         {10, &GateSimulation::startDriver},
         {10, &GateSimulation::pauseDriver},
+        {20, &GateSimulation::applyLateOrder},
     }};
-    constexpr std::uint32_t total = 2150;
+    constexpr std::uint32_t total = 2170;
     std::uint32_t share = choice % total;
     for (const Weight &weight : weights) {
         if (share < weight.m_share) {
@@ -246,13 +264,23 @@
 void GateSimulation::breakEngineCall(std::uint32_t choice)
 {
     Engine &engine = *m_engines[choice % rankCount];
-    engine.m_fault = static_cast<Engine::Fault>(1 + choice / rankCount % 4);
+    engine.m_fault = static_cast<Engine::Fault>(1 + choice / rankCount % 5);
+}
+
+void GateSimulation::applyLateOrder(std::uint32_t choice)
+{
+    Engine &engine = *m_engines[choice % rankCount];
+    if (engine.m_late)
+        engine.apply(*engine.m_late);
+    engine.m_late.reset();
 }
 
 bool GateSimulation::recovers()
 {
-    for (const auto &engine : m_engines)
-        engine->m_fault = Engine::Fault::None;
+    for (std::uint32_t rank = 0; rank < rankCount; ++rank) {
+        m_engines[rank]->m_fault = Engine::Fault::None;
+        applyLateOrder(rank);
+    }
     for (Driver &driver : m_drivers)
         driver.m_paused = true;
     const std::uint64_t stepsBefore = stepsBegun();
--- a/tests/internal/expertmap/gatesimulation.h
+++ b/tests/internal/expertmap/gatesimulation.h
@@ -21,7 +21,8 @@
 public:
     static constexpr std::uint32_t rankCount = 3;
 
-    explicit GateSimulation(RankActorFactory factory);
+    // Engines that don't check sequence numbers apply an order after a later one.
+    explicit GateSimulation(RankActorFactory factory, bool enginesCheck = true);
     ~GateSimulation();
     GateSimulation(const GateSimulation &) = delete;
     GateSimulation &operator=(const GateSimulation &) = delete;
@@ -71,6 +72,7 @@
     void startDriver(std::uint32_t choice);
     void pauseDriver(std::uint32_t choice);
     void breakEngineCall(std::uint32_t choice);
+    void applyLateOrder(std::uint32_t choice);
 
     void deliver(const Packet &packet);
     void deliverToRank(const Packet &packet);
--- a/tests/internal/expertmap/naiverankactors.cpp
+++ b/tests/internal/expertmap/naiverankactors.cpp
@@ -38,6 +38,7 @@
             return AgentActor::answer(message, now);
         GateRecord record = m_engine.read()->m_record;
         record.m_live = prepare->m_change;
+        ++record.m_sequence;
         m_engine.store(record);
         return std::nullopt;
     }
@@ -50,17 +51,23 @@
 
     std::vector<RankMessage> tick(TimePoint now) override
     {
-        const GateRecord record = m_engine.read()->m_record;
+        GateRecord record = m_engine.read()->m_record;
         if (record.m_promise != m_seen) {
             m_seen = record.m_promise;
             m_leaseEnd = now + leaseTime;
         }
         if (record.m_promise && now >= m_leaseEnd)
-            m_engine.store(RankGate::withdraw(record));
+            withdraw(record);
         return AgentActor::tick(now);
     }
 
 private:
+    void withdraw(GateRecord record)
+    {
+        ++record.m_sequence;
+        m_engine.store(RankGate::withdraw(record));
+    }
+
     std::optional<MapChange> m_seen;
     TimePoint m_leaseEnd;
 };
@@ -92,6 +99,7 @@
     if (state) {
         GateRecord record;
         record.m_live = state->m_record.m_live;
+        record.m_sequence = state->m_record.m_sequence + 1;
         engine.store(record);
     }
     return std::make_unique<AgentActor>(rank, rankCount, engine);
--- a/tests/internal/expertmap/test_gatemessage.cpp
+++ b/tests/internal/expertmap/test_gatemessage.cpp
@@ -45,7 +45,7 @@
 
 BOOST_AUTO_TEST_CASE(a_record_is_read_back_as_it_was_written)
 {
-    GateRecord record{{7, 2}, change, {{6, 1}, 2, 3, 500}};
+    GateRecord record{9, {7, 2}, change, {{6, 1}, 2, 3, 500}};
     BOOST_TEST((GateRecord::decode(record.encode()) == record));
     record.m_promise.reset();
     BOOST_TEST((GateRecord::decode(record.encode()) == record));
--- a/tests/internal/expertmap/test_stepgate.cpp
+++ b/tests/internal/expertmap/test_stepgate.cpp
@@ -20,11 +20,11 @@
 }
 
 // How many of the runs with seeds 1 to runCount the oracle finds at fault.
-int countViolations(RankActorFactory factory)
+int countViolations(RankActorFactory factory, bool enginesCheck = true)
 {
     int violations = 0;
     for (std::uint64_t seed = 1; seed <= runCount; ++seed) {
-        GateSimulation simulation(factory);
+        GateSimulation simulation(factory, enginesCheck);
         for (const std::uint32_t event : drawEvents(seed))
             simulation.apply(event);
         violations += simulation.violated() ? 1 : 0;
@@ -92,4 +92,11 @@
     BOOST_TEST(violations > 0);
 }
 
+BOOST_AUTO_TEST_CASE(an_order_applied_after_a_later_one_is_caught)
+{
+    const int violations = countViolations(&makeAgent, false);
+    BOOST_TEST_MESSAGE("late orders: " << violations << " of " << runCount);
+    BOOST_TEST(violations > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/engine/enginerank.cpp
+++ b/tests/standins/engine/enginerank.cpp
@@ -298,7 +298,8 @@
     const auto type = (*body)["type"].get<std::string>();
     const std::uint64_t fence = numberOr(*body, "fence", 0);
     std::uint64_t &highest = m_fences[type];
-    if (m_options.m_checksFencing && fence < highest) {
+    const std::uint64_t lowest = type == "step_gate" ? highest + 1 : highest;
+    if (m_options.m_checksFencing && fence < lowest) {
         sendJson(*responder, 409, m_bootId, errorBody("stale_fence"));
         return;
     }
--- a/tests/standins/engine/enginerank.h
+++ b/tests/standins/engine/enginerank.h
@@ -47,7 +47,8 @@
 //     next step. "stage_map" {id}: answers {"staged":b}, true once its experts are loaded.
 //     "step_gate" {limit, base_version, version, from_step, record}: no step from the limit
 //     on is begun, 0 is none; steps before from_step use base_version, others version; the
-//     record is kept as it is. Fencing numbers count for each type by itself.
+//     record is kept as it is; its fencing number must be above the last one. Fencing
+//     numbers count for each type by itself.
 // GET /expert-map {step, map_version, step_limit, record}; the step is the next one to be
 //     begun.
 // GET /step-log?after=N: {"steps":[{"step":s,"versions":[a version a rank]}]}.
