--- a/src/burdockhead/codec/messagereader.cpp
+++ b/src/burdockhead/codec/messagereader.cpp
@@ -17,8 +17,8 @@
     }
     try {
         const msgpack::unpack_limit limit(0, 0, m_message.size(), 0, 0, 1);
-        const auto handle = msgpack::unpack(m_message.data(), m_message.size(), m_offset, nullptr,
-                                            nullptr, limit);
+        const auto handle =
+            msgpack::unpack(m_message.data(), m_message.size(), m_offset, nullptr, nullptr, limit);
         return handle.get().as<Value>();
     } catch (const std::exception &) {
         m_ok = false;
