Say "leaving" in load reports only when an agent stops for good

The agent's last report before the return said "leaving"; the router rightly takes that as final for a run of the agent, gets no new report from a replica that it doesn't choose, and so never learns better.

Ruled out: the ramp and the prefix affinity (with fresh prompts the endpoint still got nothing); a lifetime for the word (a stopping agent's word must hold). What configuration takes out, configuration brings back; reports say "leaving" only in the process's own stop.

The same test waited for work at a restarted agent while all callers sent one prompt, which the cache rightly kept where it was; it now sends requests of their own to find out, and still demands that they reach it. The oracle of the split routing tests runs with the last resort for cold endpoints off, as before the split.

--- a/src/burdockhead/agent/agentcore.cpp
+++ b/src/burdockhead/agent/agentcore.cpp
@@ -89,6 +89,13 @@
     perform(m_admission.setLimits(limits, Clock::now()));
 }
 
+void AgentCore::startStopping()
+{
+    const Lock lock(m_mutex);
+    m_stopping = true;
+    perform(m_admission.startLeaving(Clock::now()));
+}
+
 void AgentCore::startLeaving()
 {
     const Lock lock(m_mutex);
@@ -107,10 +114,19 @@
     return m_admission.drained() && m_works.empty();
 }
 
+// Entries know from the configuration what is taken out for a time. A report says "leaving"
+// only when this run of the agent stops for good, since nothing takes that word back.
+LoadReport AgentCore::loadReport() const
+{
+    LoadReport load = m_admission.report();
+    load.m_leaving = m_stopping;
+    return load;
+}
+
 LoadReport AgentCore::report() const
 {
     const Lock lock(m_mutex);
-    return m_admission.report();
+    return loadReport();
 }
 
 AgentCounters AgentCore::counters() const
@@ -232,7 +248,7 @@
         HeadFrame{attempt, answer.m_status, answer.m_contentType, true, m_events.stamp()});
     subscriber.m_connection->send(DataFrame{attempt, 0, answer.m_body});
     subscriber.m_connection->send(
-        EndFrame{attempt, answer.m_body.size(), m_admission.report(), m_events.stamp()});
+        EndFrame{attempt, answer.m_body.size(), loadReport(), m_events.stamp()});
 }
 
 // The request runs for another attempt; this one gets the same answer when it ends.
@@ -321,7 +337,7 @@
 {
     ++m_counters.m_refused;
     subscriber.m_connection->send(FailureFrame{subscriber.m_attempt, kind, runState, reason,
-                                               comeBack, m_admission.report(), m_events.stamp()});
+                                               comeBack, loadReport(), m_events.stamp()});
 }
 
 void AgentCore::record(EventType type, const RequestFacts &facts, const std::string &reason)
--- a/src/burdockhead/agent/agentcore.h
+++ b/src/burdockhead/agent/agentcore.h
@@ -41,12 +41,15 @@
     // Takes over the limits and shares of a configuration.
     void applyConfiguration(const Configuration &configuration);
 
-    // Refuses new work from now on and finishes what runs.
+    // Refuses new work until stopLeaving() and finishes what runs.
     void startLeaving();
 
     // Takes new work again, after the data centre was brought back.
     void stopLeaving();
 
+    // Refuses new work for good and finishes what runs.
+    void startStopping();
+
     // True when leaving and nothing runs or is being sent any more.
     bool drained() const;
 
@@ -54,6 +57,7 @@
     AgentCounters counters() const;
 
 private:
+    LoadReport loadReport() const;
     using Lock = std::unique_lock<std::mutex>;
     using WorkPointer = std::shared_ptr<AgentWork>;
 
@@ -104,6 +108,7 @@
     std::unordered_map<AttemptId, RequestId> m_byAttempt;
     std::unordered_map<std::string, RequestId> m_byKey;
     AgentCounters m_counters;
+    bool m_stopping = false;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/agent/agentcorework.cpp
+++ b/src/burdockhead/agent/agentcorework.cpp
@@ -174,7 +174,7 @@
     record(EventType::RequestCompleted, work.m_request.m_facts, "at the endpoint");
     m_ledger.completed(work.m_request.m_attempt,
                        {work.m_head.m_status, work.m_head.m_contentType, work.m_body}, now);
-    const LoadReport load = m_admission.report();
+    const LoadReport load = loadReport();
     if (work.m_keyed) {
         send(work, [&](const AttemptId &attempt) {
             return HeadFrame{attempt, work.m_head.m_status, work.m_head.m_contentType, false,
--- a/src/burdockhead/agent/agentprocess.cpp
+++ b/src/burdockhead/agent/agentprocess.cpp
@@ -171,7 +171,7 @@
     logInfo("draining", {{"running", m_core->report().m_running}});
     m_membership.announce(announcement(ReplicaState::Leaving));
     m_membership.setLeaving();
-    m_core->startLeaving();
+    m_core->startStopping();
     const TimePoint last = Clock::now() + m_settings.m_limits.m_drain;
     const TimePoint notice = Clock::now() + leavingNotice;
     while (Clock::now() < notice || (!m_core->drained() && Clock::now() < last))
--- a/src/burdockhead/entry/agentlinks.cpp
+++ b/src/burdockhead/entry/agentlinks.cpp
@@ -58,7 +58,7 @@
 void AgentLinks::Private::open(const SocketAddress &address)
 {
     connectFrames(m_pool, address, Clock::now() + connectLimit,
-                  [self = weak_from_this(), address](FrameConnectionPointer connection) {
+                  [self = weak_from_this(), address](const FrameConnectionPointer &connection) {
                       if (const auto strong = self.lock())
                           strong->connected(address, connection);
                       else if (connection)
--- a/tests/internal/routing/test_entryrouterproperties.cpp
+++ b/tests/internal/routing/test_entryrouterproperties.cpp
@@ -208,6 +208,7 @@
     RouterOptions options;
     options.m_entries = 1;
     options.m_chooser = chooser;
+    options.m_coldLastResort = false; // The oracle knows the shares alone.
     return options;
 }
 
--- a/tests/internal/transport/test_frameconnection.cpp
+++ b/tests/internal/transport/test_frameconnection.cpp
@@ -33,7 +33,7 @@
     BOOST_REQUIRE(listener.start());
     std::promise<FrameConnectionPointer> connected;
     connectFrames(pool, address, Clock::now() + Seconds(20),
-                  [&](FrameConnectionPointer connection) { connected.set_value(connection); });
+                  [&](const FrameConnectionPointer &made) { connected.set_value(made); });
     const FrameConnectionPointer connection = connected.get_future().get();
     BOOST_REQUIRE(connection);
     connection->start([](const auto &, const Frame &) {}, [](const auto &) {});
--- a/tests/public/processes/childprocess.cpp
+++ b/tests/public/processes/childprocess.cpp
@@ -19,6 +19,7 @@
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const std::string &argument : arguments)
         pointers.push_back(const_cast<char *>(argument.c_str()));
     pointers.push_back(nullptr);
--- a/tests/public/processes/test_leavingprocesses.cpp
+++ b/tests/public/processes/test_leavingprocesses.cpp
@@ -20,6 +20,17 @@
     return work;
 }
 
+// Sends requests that share no prefix with others, so that the cache draws them nowhere,
+// until the endpoint has had work.
+bool getsWork(Deployment &deployment, const std::string &prefix)
+{
+    int number = 0;
+    return waitUntil([&] {
+        deployment.chat("entry-dc-c-0", "fresh request " + std::to_string(++number), 5);
+        return workAfterMark(deployment, prefix) > 0;
+    });
+}
+
 void checkAllWhole(const LoadTally &tally)
 {
     BOOST_TEST(tally.m_whole > 0U);
@@ -60,7 +71,7 @@
     BOOST_TEST(addresses->m_body.find("dc-b") == std::string::npos);
 
     BOOST_REQUIRE(deployment.setTakenOut("entry-dc-c-0", "dc-b", false));
-    BOOST_TEST(waitUntil([&] { return workAfterMark(deployment, "engine-dc-b") > 0; }));
+    BOOST_TEST(getsWork(deployment, "engine-dc-b"));
     checkAllWhole(load.stop());
 }
 
@@ -81,7 +92,7 @@
     BOOST_TEST(stats["cancelled"] == 0);
     deployment.restart("agent-engine-dc-a-0");
     deployment.post("engine-dc-a-0", "/mark", {});
-    BOOST_TEST(waitUntil([&] { return workAfterMark(deployment, "engine-dc-a") > 0; }));
+    BOOST_TEST(getsWork(deployment, "engine-dc-a"));
     checkAllWhole(load.stop());
 }
 
