--- a/bench/processes/bench_hop.cpp
+++ b/bench/processes/bench_hop.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned longTokens = 1100;
 constexpr double microsecondsPerSecond = 1e6;
 constexpr Seconds idleTime{5};
+constexpr double bytesPerMegabyte = 1e6;
 
 // What one way gave in one run, in microseconds, all as medians over its requests.
 struct WayFigures
@@ -103,10 +104,11 @@
                 through.m_median - direct.m_median);
 }
 
+// Processor time of one request of each length, in microseconds.
 struct ProcessorUse
 {
-    double m_perRequest = 0;
-    double m_perChunk = 0;
+    double m_short = 0;
+    double m_long = 0;
 };
 
 // Processor seconds a second that the process uses without requests.
@@ -118,8 +120,7 @@
            / std::chrono::duration<double>(idleTime).count();
 }
 
-// Two lengths of answer give the slope a chunk and the rest a request, in microseconds;
-// what the process uses without requests is taken off.
+// What the process uses without requests is taken off.
 ProcessorUse processorUse(Deployment &deployment, const std::string &name,
                           const SocketAddress &entry, double idle)
 {
@@ -132,10 +133,7 @@
         return (processorSeconds(deployment, name) - before - idle * elapsed) / requestsPerRun
                * microsecondsPerSecond;
     };
-    const double small = cost(tokens);
-    const double large = cost(longTokens);
-    const double slope = (large - small) / (longTokens - tokens);
-    return {small - slope * tokens, slope};
+    return {cost(tokens), cost(longTokens)};
 }
 
 } // namespace
@@ -179,13 +177,15 @@
     printRow("time to first chunk", spreadOf(directFirst), spreadOf(throughFirst));
     printRow("time to whole answer, 100 chunks of 0.5 ms", spreadOf(directWhole),
              spreadOf(throughWhole));
-    std::printf("\n| processor time | idle, of a core | a request, us | a chunk, us "
-                "|\n|---|---|---|---|\n");
+    std::printf("\n| process | idle, %% of a core | microseconds a request of %u chunks | of %u chunks "
+                "| resident memory, MB |\n|---|---|---|---|---|\n",
+                tokens, longTokens);
     for (const char *name : {"entry-dc-a-0", "agent-engine-dc-a-0"}) {
         const double idle = idleUse(deployment, name);
         const ProcessorUse use = processorUse(deployment, name, entry, idle);
-        std::printf("| %s | %.2f %% | %.0f | %.1f |\n", name, 100 * idle, use.m_perRequest,
-                    use.m_perChunk);
+        std::printf("| %s | %.2f | %.0f | %.0f | %.1f |\n", name, 100 * idle, use.m_short,
+                    use.m_long,
+                    deployment.metric(name, "process_resident_memory_bytes") / bytesPerMegabyte);
     }
     return 0;
 }
