--- a/src/burdockhead/agent/agentprocess.cpp
+++ b/src/burdockhead/agent/agentprocess.cpp
@@ -6,6 +6,7 @@
 #include <burdockhead/observe/metrics.h>
 #include <burdockhead/process/operatorsport.h>
 #include <burdockhead/process/processstart.h>
+#include <burdockhead/process/runprocess.h>
 #include <burdockhead/process/stopsignal.h>
 #include <burdockhead/transport/framelistener.h>
 #include <burdockhead/transport/workerpool.h>
@@ -186,17 +187,7 @@
 
 int runAgent(const AgentSettings &settings)
 {
-    blockStopSignals();
-    initializeLog(settings.m_logLevel, settings.m_name.text());
-    AgentProcess process(settings);
-    Failure failure;
-    if (!process.start(failure)) {
-        logError("start_failed", {{"reason", failure.m_reason}});
-        return 1;
-    }
-    waitForStopSignal();
-    process.drain();
-    return 0;
+    return runProcess<AgentProcess>(settings);
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/entry/entryprocess.cpp
+++ b/src/burdockhead/entry/entryprocess.cpp
@@ -13,6 +13,7 @@
 #include <burdockhead/platform/httpobjectapi.h>
 #include <burdockhead/process/operatorsport.h>
 #include <burdockhead/process/processstart.h>
+#include <burdockhead/process/runprocess.h>
 #include <burdockhead/process/stopsignal.h>
 #include <burdockhead/transport/workerpool.h>
 
@@ -195,17 +196,7 @@
 
 int runEntry(const EntrySettings &settings)
 {
-    blockStopSignals();
-    initializeLog(settings.m_logLevel, settings.m_name.text());
-    EntryProcess process(settings);
-    Failure failure;
-    if (!process.start(failure)) {
-        logError("start_failed", {{"reason", failure.m_reason}});
-        return 1;
-    }
-    waitForStopSignal();
-    process.drain();
-    return 0;
+    return runProcess<EntryProcess>(settings);
 }
 
 } // namespace burdockhead
