Let replicas that failed come back at light load, and measure recovery

Metrics of a stuck run showed the breakers closed or waiting for a probe and the replica idle: what kept it out was the cost of earlier errors in the score, which only further attempts can lower, and at light load nobody makes one.

Ruled out: the agent (idle, with a limit of 4 and nothing queued); membership; the cold share of the entries.

The share of failures now halves each second since the last failure, a new run of an agent starts without one, and a breaker that waits for its probe has no error cost.

--- a/bench/processes/bench_hop.cpp
+++ b/bench/processes/bench_hop.cpp
@@ -177,9 +177,10 @@
     printRow("time to first chunk", spreadOf(directFirst), spreadOf(throughFirst));
     printRow("time to whole answer, 100 chunks of 0.5 ms", spreadOf(directWhole),
              spreadOf(throughWhole));
-    std::printf("\n| process | idle, %% of a core | microseconds a request of %u chunks | of %u chunks "
-                "| resident memory, MB |\n|---|---|---|---|---|\n",
-                tokens, longTokens);
+    std::printf(
+        "\n| process | idle, %% of a core | microseconds a request of %u chunks | of %u chunks "
+        "| resident memory, MB |\n|---|---|---|---|---|\n",
+        tokens, longTokens);
     for (const char *name : {"entry-dc-a-0", "agent-engine-dc-a-0"}) {
         const double idle = idleUse(deployment, name);
         const ProcessorUse use = processorUse(deployment, name, entry, idle);
--- a/src/burdockhead/routing/choicecontext.cpp
+++ b/src/burdockhead/routing/choicecontext.cpp
@@ -52,7 +52,9 @@
     const double service = serviceMicroseconds(replica);
     const double limit = replica.limit();
     double requests = 1 + outstanding(replica) / limit - prefixSaving(index);
-    requests += replica.m_breaker.errorShare() * choice.m_errorCost;
+    // A breaker that waits for its probe would else never get one while others have room.
+    if (replica.m_breaker.state(m_now) != BreakerState::HalfOpen)
+        requests += replica.m_breaker.errorShare(m_now) * choice.m_errorCost;
     if (replica.m_announcement->m_state == ReplicaState::Suspect)
         requests += choice.m_suspectCost;
     if (!m_table.hasAdapter(index, m_facts.m_adapter))
--- a/src/burdockhead/routing/circuitbreaker.cpp
+++ b/src/burdockhead/routing/circuitbreaker.cpp
@@ -1,6 +1,7 @@
 #include <burdockhead/routing/circuitbreaker.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace burdockhead {
@@ -8,6 +9,7 @@
 namespace {
 
 constexpr double errorShareGain = 0.1;
+constexpr std::chrono::duration<double> errorShareHalfLife{1.0};
 constexpr std::uint16_t maxDoublings = 10;
 
 void increment(std::uint16_t &count)
@@ -61,6 +63,7 @@
     increment(m_samples);
     increment(m_consecutiveFailures);
     m_errorShare += (1 - m_errorShare) * errorShareGain;
+    m_lastFailure = now;
     const bool probeFailed = state(now) == BreakerState::HalfOpen;
     if (probeFailed || (m_closed && isTripped(options)))
         open(options, now, random);
@@ -75,10 +78,18 @@
 {
     m_inFlight = 0;
     m_consecutiveFailures = 0;
+    m_samples = 0;
+    m_errorShare = 0;
     m_openUntil = std::min(m_openUntil, now);
     m_probeDeadline = now + options.m_probeTimeout;
 }
 
+double CircuitBreaker::errorShare(TimePoint now) const
+{
+    const std::chrono::duration<double> age = now - m_lastFailure;
+    return m_errorShare * std::exp2(-age / errorShareHalfLife);
+}
+
 BreakerState CircuitBreaker::state(TimePoint now) const
 {
     if (m_closed)
--- a/src/burdockhead/routing/circuitbreaker.h
+++ b/src/burdockhead/routing/circuitbreaker.h
@@ -37,8 +37,9 @@
     // The state as of now.
     BreakerState state(TimePoint now) const;
 
-    // Recent share of failures, 0 to 1.
-    double errorShare() const { return m_errorShare; }
+    // Recent share of failures, 0 to 1. It fades with the time since the last failure, as a replica
+    // that is passed over has no attempts by which it could show that it is well.
+    double errorShare(TimePoint now) const;
 
 private:
     bool isTripped(const BreakerOptions &options) const;
@@ -53,6 +54,7 @@
     std::uint16_t m_openings = 0; // Since it was last closed.
     std::uint32_t m_inFlight = 0;
     double m_errorShare = 0;
+    TimePoint m_lastFailure;
     TimePoint m_openUntil;
     TimePoint m_probeDeadline; // What is in flight then no longer holds a probe back.
 };
--- a/tests/internal/routing/test_circuitbreaker.cpp
+++ b/tests/internal/routing/test_circuitbreaker.cpp
@@ -162,4 +162,18 @@
     BOOST_TEST(!breaker.allows(startTime));
 }
 
+BOOST_AUTO_TEST_CASE(the_share_of_failures_fades_without_attempts_and_ends_with_a_new_run)
+{
+    const BreakerOptions options;
+    const TimePoint failedAt{Seconds(100)};
+    Random random(1);
+    CircuitBreaker breaker;
+    breaker.noteDispatch(options, failedAt);
+    breaker.noteFailure(options, failedAt, random);
+    BOOST_TEST(breaker.errorShare(failedAt) > 0.05);
+    BOOST_TEST(breaker.errorShare(failedAt + Seconds(10)) < 0.001);
+    breaker.noteRestart(options, failedAt);
+    BOOST_TEST(breaker.errorShare(failedAt) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -282,7 +282,8 @@
 nlohmann::json Deployment::page(const std::string &name, const std::string &path)
 {
     const auto response = call(process(name).m_main, "GET", path);
-    return response ? Json::parse(response->m_body, nullptr, false) : Json();
+    auto parsed = response ? Json::parse(response->m_body, nullptr, false) : Json();
+    return parsed.is_object() ? parsed : Json::object();
 }
 
 void Deployment::post(const std::string &name, const std::string &path, const nlohmann::json &body)
--- a/tests/public/processes/deployment.h
+++ b/tests/public/processes/deployment.h
@@ -58,7 +58,7 @@
     std::optional<HttpResponse> signOff(const std::string &entry, const std::string &key,
                                         const std::string &body);
 
-    // A stand-in's JSON page.
+    // A stand-in's JSON page; an empty object when it can't be had.
     nlohmann::json page(const std::string &name, const std::string &path);
 
     // Sets a fault or mark at a stand-in.
