--- a/src/burdockhead/base/errorkind.cpp
+++ b/src/burdockhead/base/errorkind.cpp
@@ -20,6 +20,8 @@
     {UnknownModel, "unknown_model", 404, notRun, false, false, "No model group has this model."},
     {UnknownWorkspace, "unknown_workspace", 403, notRun, false, false,
      "The workspace is not in the configuration."},
+    {InvalidCredential, "invalid_credential", 401, notRun, false, false,
+     "No workspace holds this credential."},
     {UnknownKind, "unknown_kind", 400, notRun, false, false,
      "The kind of request is not in the configuration."},
     {KeyRequired, "key_required", 400, notRun, false, false,
--- a/src/burdockhead/base/errorkind.h
+++ b/src/burdockhead/base/errorkind.h
@@ -13,6 +13,7 @@
     UnknownPath,
     UnknownModel,
     UnknownWorkspace,
+    InvalidCredential,
     UnknownKind,
     KeyRequired,
     KeyReusedForOtherRequest,
--- /dev/null
+++ b/src/burdockhead/gateway/endpointbreaker.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <burdockhead/base/timepoint.h>
+
+namespace burdockhead {
+
+// Keeps an endpoint out of the choice after failures in a row. Each further failure doubles
+// the pause; then one request tries it again. Answers the load pattern of an endpoint that
+// fails while its health checks pass.
+class EndpointBreaker
+{
+public:
+    // Whether the endpoint may get a request.
+    bool allows(TimePoint now) const { return now >= m_closedUntil; }
+
+    void noteSuccess();
+    void noteFailure(TimePoint now);
+
+    // Keeps it out until then, whatever came before.
+    void suspendUntil(TimePoint until) { m_closedUntil = until; }
+
+    // A request goes to it; after a pause no other follows before its end is known.
+    void noteSent(TimePoint now);
+
+    // The part of late requests that failed, from 0 to 1.
+    double failureShare() const { return m_failureShare; }
+
+private:
+    unsigned m_failuresInRow = 0;
+    double m_failureShare = 0;
+    TimePoint m_closedUntil = TimePoint::min();
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -0,0 +1,153 @@
+#include <burdockhead/gateway/endpointtable.h>
+
+#include <algorithm>
+
+namespace burdockhead {
+
+namespace {
+
+// Requests in flight that a share of failures of 1 counts as: an endpoint that fails always
+// is taken only when the others are about full.
+constexpr double failureHandicap = 12;
+
+double score(const KnownEndpoint &endpoint)
+{
+    const double load = endpoint.m_inFlight + endpoint.m_inFlightElsewhere
+        + failureHandicap * endpoint.m_breaker.failureShare();
+    return load / std::max(1U, endpoint.m_entry.m_slots);
+}
+
+void erase(std::vector<KnownEndpointPointer> &endpoints, const KnownEndpointPointer &endpoint)
+{
+    endpoints.erase(std::remove(endpoints.begin(), endpoints.end(), endpoint), endpoints.end());
+}
+
+} // namespace
+
+EndpointTable::EndpointTable(Random seed)
+    : m_random(seed)
+{}
+
+bool EndpointTable::update(const EndpointEntry &entry)
+{
+    KnownEndpointPointer &known = m_endpoints[entry.m_name];
+    const bool isNew = !known || known->m_entry.m_startedAt != entry.m_startedAt
+        || known->m_entry.m_address != entry.m_address
+        || known->m_entry.m_service != entry.m_service;
+    if (isNew) {
+        if (known)
+            erase(m_byService[known->m_entry.m_service], known);
+        auto next = std::make_shared<KnownEndpoint>();
+        // The bound on arrivals holds over a restart: a cold endpoint has just done that.
+        if (known)
+            next->m_lastSecond = known->m_lastSecond;
+        known = next;
+        m_byService[entry.m_service].push_back(known);
+    }
+    known->m_entry = entry;
+    known->m_usableUntil = TimePoint::max();
+    return isNew;
+}
+
+void EndpointTable::remove(const EndpointName &name, TimePoint usableUntil)
+{
+    const auto found = m_endpoints.find(name);
+    if (found != m_endpoints.end())
+        found->second->m_usableUntil = std::min(found->second->m_usableUntil, usableUntil);
+}
+
+void EndpointTable::dropGone(TimePoint now)
+{
+    for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
+        if (item->second->m_usableUntil > now) {
+            ++item;
+            continue;
+        }
+        erase(m_byService[item->second->m_entry.m_service], item->second);
+        item = m_endpoints.erase(item);
+    }
+}
+
+void EndpointTable::setDataCentreOut(const DataCentreName &name, bool isOut)
+{
+    if (isOut)
+        m_out.insert(name);
+    else
+        m_out.erase(name);
+}
+
+bool EndpointTable::isUsable(const KnownEndpoint &endpoint, TimePoint now) const
+{
+    return !endpoint.m_entry.m_isLeaving && now < endpoint.m_usableUntil
+        && !m_out.contains(endpoint.m_entry.m_dataCentre);
+}
+
+KnownEndpointPointer EndpointTable::choose(const EndpointRequest &request, TimePoint now)
+{
+    const auto found = m_byService.find(request.m_service);
+    if (found == m_byService.end() || found->second.empty())
+        return nullptr;
+    const auto &candidates = found->second;
+    // Equal ones are taken from a random place on, so that gateways don't agree on one.
+    const std::size_t offset = m_random() % candidates.size();
+    KnownEndpointPointer best;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const auto &candidate = candidates[(index + offset) % candidates.size()];
+        if (!isUsable(*candidate, now) || !candidate->m_breaker.allows(now))
+            continue;
+        if (std::find(request.m_tried.begin(), request.m_tried.end(), candidate->m_entry.m_name)
+            != request.m_tried.end())
+            continue;
+        if (best && score(*best) <= score(*candidate))
+            continue;
+        if (request.m_arrivalLimit > 0
+            && !candidate->m_lastSecond.allows(request.m_arrivalLimit, now))
+            continue;
+        best = candidate;
+    }
+    return best;
+}
+
+void EndpointTable::noteSent(KnownEndpoint &endpoint, TimePoint now)
+{
+    ++endpoint.m_inFlight;
+    endpoint.m_lastSecond.note(now);
+    endpoint.m_breaker.noteSent(now);
+}
+
+void EndpointTable::noteEnded(KnownEndpoint &endpoint)
+{
+    if (endpoint.m_inFlight > 0)
+        --endpoint.m_inFlight;
+}
+
+unsigned EndpointTable::slots(const GroupName &service, TimePoint now) const
+{
+    unsigned slots = 0;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return slots;
+    for (const auto &endpoint : found->second) {
+        if (isUsable(*endpoint, now))
+            slots += endpoint->m_entry.m_slots;
+    }
+    return slots;
+}
+
+std::size_t EndpointTable::usableCount(const GroupName &service, TimePoint now) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(),
+                      [&](const auto &endpoint) { return isUsable(*endpoint, now); }));
+}
+
+KnownEndpointPointer EndpointTable::find(const EndpointName &name) const
+{
+    const auto found = m_endpoints.find(name);
+    return found == m_endpoints.end() ? nullptr : found->second;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <burdockhead/base/random.h>
+#include <burdockhead/gateway/arrivalwindow.h>
+#include <burdockhead/gateway/endpointbreaker.h>
+#include <burdockhead/gateway/endpointentry.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace burdockhead {
+
+// One endpoint as this gateway sees it. Requests in flight keep it alive after its entry is
+// gone.
+struct KnownEndpoint
+{
+    EndpointEntry m_entry;
+    EndpointBreaker m_breaker;
+    ArrivalWindow m_lastSecond{Milliseconds(1000)};
+    unsigned m_inFlight = 0;
+    unsigned m_inFlightElsewhere = 0; // As other gateways last told.
+    TimePoint m_lastAnswerAt;         // When bytes of an answer last came from it.
+    TimePoint m_usableUntil = TimePoint::max(); // An entry that is gone may be on its way back.
+};
+
+using KnownEndpointPointer = std::shared_ptr<KnownEndpoint>;
+
+// What a choice among endpoints depends on.
+struct EndpointRequest
+{
+    GroupName m_service;
+    std::size_t m_arrivalLimit = 0; // Requests that each endpoint may get in a second; 0: any.
+    std::vector<EndpointName> m_tried;
+};
+
+// Every endpoint that service discovery has told of, and the choice among them: the fewest
+// requests in flight for its slots, with a handicap for failures. Answers the load pattern of
+// ranks in lock-step, where the fullest one sets the pace of all.
+class EndpointTable
+{
+public:
+    explicit EndpointTable(Random seed);
+
+    // Takes an entry. True when the endpoint is new or has started again.
+    bool update(const EndpointEntry &entry);
+
+    // The entry is gone; the endpoint may still be used until that time.
+    void remove(const EndpointName &name, TimePoint usableUntil);
+
+    // Takes a data centre out of the choice, or back in.
+    void setDataCentreOut(const DataCentreName &name, bool isOut);
+    bool isDataCentreOut(const DataCentreName &name) const { return m_out.contains(name); }
+    std::set<DataCentreName> dataCentresOut() const { return m_out; }
+
+    // The endpoint that should get the request; a null pointer when none may.
+    KnownEndpointPointer choose(const EndpointRequest &request, TimePoint now);
+
+    // Notes a request on its way to an endpoint, and its end.
+    void noteSent(KnownEndpoint &endpoint, TimePoint now);
+    void noteEnded(KnownEndpoint &endpoint);
+
+    // Slots of the service's endpoints that may get requests.
+    unsigned slots(const GroupName &service, TimePoint now) const;
+
+    // Endpoints of the service that may get requests, breakers aside.
+    std::size_t usableCount(const GroupName &service, TimePoint now) const;
+
+    KnownEndpointPointer find(const EndpointName &name) const;
+    const std::map<EndpointName, KnownEndpointPointer> &endpoints() const { return m_endpoints; }
+
+    // Drops endpoints whose time has run out.
+    void dropGone(TimePoint now);
+
+private:
+    bool isUsable(const KnownEndpoint &endpoint, TimePoint now) const;
+
+    std::map<EndpointName, KnownEndpointPointer> m_endpoints;
+    std::map<GroupName, std::vector<KnownEndpointPointer>> m_byService;
+    std::set<DataCentreName> m_out;
+    Random m_random;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/eventsplitter.cpp
@@ -0,0 +1,83 @@
+#include <burdockhead/gateway/eventsplitter.h>
+
+#include <charconv>
+
+namespace burdockhead {
+
+namespace {
+
+// The length of the first whole event with its blank line; npos without one.
+std::size_t eventLength(std::string_view text)
+{
+    const auto plain = text.find("\n\n");
+    const auto crlf = text.find("\r\n\r\n");
+    if (crlf != std::string_view::npos && (plain == std::string_view::npos || crlf < plain))
+        return crlf + 4;
+    return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        if (line.starts_with(field)) {
+            line.remove_prefix(field.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t id = 0;
+            if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
+                return id;
+            return std::nullopt;
+        }
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void EventSplitter::restart()
+{
+    m_partial.clear();
+}
+
+std::string EventSplitter::take(std::string_view bytes)
+{
+    std::string whole;
+    std::string joined;
+    if (!m_partial.empty()) {
+        joined = std::move(m_partial);
+        joined.append(bytes);
+        bytes = joined;
+        m_partial.clear();
+    }
+    for (auto length = eventLength(bytes); length != std::string_view::npos;
+         length = eventLength(bytes)) {
+        takeEvent(bytes.substr(0, length), whole);
+        bytes.remove_prefix(length);
+    }
+    m_partial = bytes;
+    return whole;
+}
+
+void EventSplitter::takeEvent(std::string_view event, std::string &whole)
+{
+    const auto id = eventId(event);
+    if (m_hasGap)
+        return;
+    if (id && m_lastEvent) {
+        if (*id <= *m_lastEvent)
+            return;
+        if (*id > *m_lastEvent + 1) {
+            m_hasGap = true;
+            return;
+        }
+    }
+    if (id)
+        m_lastEvent = id;
+    whole.append(event);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/peerlink.cpp
@@ -0,0 +1,150 @@
+#include <burdockhead/codec/messagereader.h>
+#include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/gateway/peerlink.h>
+#include <burdockhead/observe/log.h>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/udp.hpp>
+
+#include <array>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr Milliseconds beatInterval{400};
+constexpr std::size_t maxDatagramBytes = 8192;
+constexpr std::size_t maxRecords = 128;
+constexpr std::uint64_t messageVersion = 1;
+
+SocketAddress readAddress(MessageReader &reader)
+{
+    const auto address = SocketAddress::parse(reader.text());
+    if (!address)
+        reader.fail();
+    return address.value_or(SocketAddress());
+}
+
+} // namespace
+
+std::string writePeerMessage(const std::vector<PeerRecord> &records)
+{
+    MessageWriter writer;
+    writer.number(messageVersion).number(records.size());
+    for (const PeerRecord &record : records) {
+        writer.text(record.m_name.text())
+            .number(record.m_incarnation)
+            .number(record.m_beat)
+            .number(static_cast<std::uint64_t>(record.m_state))
+            .text(record.m_clients.toString())
+            .text(record.m_peers.toString());
+    }
+    return writer.take();
+}
+
+std::optional<std::vector<PeerRecord>> readPeerMessage(std::string_view datagram)
+{
+    MessageReader reader(datagram);
+    if (reader.number() != messageVersion)
+        return std::nullopt;
+    std::vector<PeerRecord> records(reader.listLength(maxRecords));
+    for (PeerRecord &record : records) {
+        record.m_name = ProcessName(reader.text());
+        record.m_incarnation = reader.number();
+        record.m_beat = reader.number();
+        const std::uint64_t state = reader.number();
+        if (state > static_cast<std::uint64_t>(PeerState::Leaving))
+            reader.fail();
+        record.m_state = static_cast<PeerState>(state);
+        record.m_clients = readAddress(reader);
+        record.m_peers = readAddress(reader);
+    }
+    if (!reader.complete())
+        return std::nullopt;
+    return records;
+}
+
+struct PeerLink::Private
+{
+    Private(EventLoop &loop, PeerTable &table)
+        : m_loop(loop)
+        , m_table(table)
+        , m_socket(loop.context())
+    {}
+
+    void receive();
+    void beat();
+    void send(const std::vector<SocketAddress> &targets);
+
+    EventLoop &m_loop;
+    PeerTable &m_table;
+    asio::ip::udp::socket m_socket;
+    asio::ip::udp::endpoint m_sender;
+    std::array<char, maxDatagramBytes> m_buffer{};
+};
+
+void PeerLink::Private::receive()
+{
+    m_socket.async_receive_from(
+        asio::buffer(m_buffer), m_sender, [this](const asio::error_code &error, std::size_t count) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error) {
+                if (const auto records = readPeerMessage({m_buffer.data(), count}))
+                    m_table.receive(*records, Clock::now());
+            }
+            receive();
+        });
+}
+
+void PeerLink::Private::send(const std::vector<SocketAddress> &targets)
+{
+    const std::string message = writePeerMessage(m_table.news(Clock::now()));
+    for (const SocketAddress &target : targets) {
+        asio::error_code error;
+        const auto ip = asio::ip::make_address(target.m_host, error);
+        // A datagram that can't be sent is like one that is lost: a later beat makes up for it.
+        if (!error)
+            m_socket.send_to(asio::buffer(message), {ip, target.m_port}, 0, error);
+    }
+}
+
+void PeerLink::Private::beat()
+{
+    send(m_table.beat(Clock::now()));
+    m_loop.callAt(Clock::now() + beatInterval, [this] { beat(); });
+}
+
+PeerLink::PeerLink(EventLoop &loop, PeerTable &table)
+    : m_d(std::make_unique<Private>(loop, table))
+{}
+
+PeerLink::~PeerLink() = default;
+
+bool PeerLink::start(const SocketAddress &address, std::string &error)
+{
+    asio::error_code failure;
+    const asio::ip::udp::endpoint endpoint(asio::ip::make_address(address.m_host, failure),
+                                           address.m_port);
+    if (!failure)
+        m_d->m_socket.open(endpoint.protocol(), failure);
+    if (!failure)
+        m_d->m_socket.bind(endpoint, failure);
+    if (!failure)
+        m_d->m_socket.non_blocking(true, failure);
+    if (failure) {
+        error = address.toString() + ": " + failure.message();
+        return false;
+    }
+    m_d->receive();
+    m_d->beat();
+    return true;
+}
+
+void PeerLink::tellAll()
+{
+    m_d->m_table.beat(Clock::now());
+    m_d->send(m_d->m_table.livePeers(Clock::now()));
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -0,0 +1,117 @@
+#include <burdockhead/gateway/peertable.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace burdockhead {
+
+namespace {
+
+// Peers that each beat goes to; news reaches fifty gateways within four beats.
+constexpr std::size_t fanout = 3;
+// Records in a message, so that it fits one datagram.
+constexpr std::size_t recordsInMessage = 14;
+// A beat that stands still for as long means that the gateway is dead: six beats, in which a
+// lost datagram or two don't count.
+constexpr Milliseconds deadAfter{2500};
+// A gateway that was heard of still counts in the division of a bound for as long: behind a
+// partition it lives on and uses its part. Longer than partitions usually last.
+constexpr Milliseconds countedAfterDeath{60000};
+// A fleet that a gateway assumes at its start, before it has heard of the others.
+constexpr std::size_t assumedFleet = 16;
+constexpr Milliseconds assumedFor{3000};
+
+} // namespace
+
+PeerTable::PeerTable(PeerRecord own, std::vector<SocketAddress> seeds, Random seed)
+    : m_own(std::move(own))
+    , m_seeds(std::move(seeds))
+    , m_random(seed)
+{}
+
+bool PeerTable::lives(const Peer &peer, TimePoint now) const
+{
+    return now - peer.m_advancedAt < deadAfter;
+}
+
+std::vector<SocketAddress> PeerTable::beat(TimePoint now)
+{
+    m_startedAt = std::min(m_startedAt, now);
+    ++m_own.m_beat;
+    std::vector<SocketAddress> targets = livePeers(now);
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    targets.resize(std::min(targets.size(), fanout));
+    // A seed now and then, so that parts of the fleet that lost each other meet again.
+    if (!m_seeds.empty() && (targets.size() < fanout || m_random() % 8 == 0)) {
+        const SocketAddress &seed = m_seeds[m_random() % m_seeds.size()];
+        if (seed != m_own.m_peers && std::find(targets.begin(), targets.end(), seed) == targets.end())
+            targets.push_back(seed);
+    }
+    return targets;
+}
+
+std::vector<PeerRecord> PeerTable::news(TimePoint now)
+{
+    // A dead one isn't passed on, or those that have dropped it would take it for alive again.
+    std::vector<PeerRecord> records;
+    for (const auto &[name, peer] : m_peers) {
+        if (lives(peer, now))
+            records.push_back(peer.m_record);
+    }
+    std::shuffle(records.begin(), records.end(), m_random);
+    records.resize(std::min(records.size(), recordsInMessage - 1));
+    records.push_back(m_own);
+    return records;
+}
+
+void PeerTable::receive(const std::vector<PeerRecord> &records, TimePoint now)
+{
+    const auto age = [](const PeerRecord &record) {
+        return std::tuple(record.m_incarnation, record.m_beat);
+    };
+    for (const PeerRecord &record : records) {
+        if (record.m_name == m_own.m_name)
+            continue;
+        const auto [item, isNew] = m_peers.try_emplace(record.m_name, Peer{record, now});
+        if (isNew || age(record) <= age(item->second.m_record))
+            continue;
+        item->second = {record, now};
+    }
+    std::erase_if(m_peers, [&](const auto &item) {
+        return now - item.second.m_advancedAt > countedAfterDeath;
+    });
+}
+
+std::vector<SocketAddress> PeerTable::livePeers(TimePoint now) const
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto &[name, peer] : m_peers) {
+        if (lives(peer, now))
+            addresses.push_back(peer.m_record.m_peers);
+    }
+    return addresses;
+}
+
+std::vector<SocketAddress> PeerTable::readyClients(TimePoint now) const
+{
+    std::vector<SocketAddress> addresses;
+    if (m_own.m_state == PeerState::Ready)
+        addresses.push_back(m_own.m_clients);
+    for (const auto &[name, peer] : m_peers) {
+        if (lives(peer, now) && peer.m_record.m_state == PeerState::Ready)
+            addresses.push_back(peer.m_record.m_clients);
+    }
+    return addresses;
+}
+
+std::size_t PeerTable::fleetSize(TimePoint now) const
+{
+    std::size_t size = 1;
+    for (const auto &[name, peer] : m_peers) {
+        if (now - peer.m_advancedAt < countedAfterDeath)
+            ++size;
+    }
+    return now < m_startedAt + assumedFor ? std::max(size, assumedFleet) : size;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/servicegate.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <burdockhead/gateway/retryallowance.h>
+#include <burdockhead/gateway/waitingline.h>
+
+namespace burdockhead {
+
+// How many requests of one service a gateway has at its endpoints at a time, who waits, and
+// how many further attempts it makes. Answers the load patterns of a burst over capacity
+// (the window) and of a group of ranks that has stalled and refuses everything (the pause).
+class ServiceGate
+{
+public:
+    explicit ServiceGate(const RetryAllowanceOptions &options)
+        : m_retries(options)
+    {}
+
+    // Requests that may be at the endpoints at a time.
+    void setWindow(std::size_t window) { m_window = window; }
+    std::size_t window() const { return m_window; }
+
+    // Whether a request may be sent now.
+    bool mayStart(TimePoint now) const;
+
+    // When a pause ends; in the past without one.
+    TimePoint pausedUntil() const { return m_pausedUntil; }
+
+    void noteStarted() { ++m_running; }
+
+    // A request that was sent has ended; `took` is the time that it was at the endpoint.
+    void noteEnded(Duration took, bool isServed);
+
+    // An endpoint refused a request without running it.
+    void noteRefused(TimePoint now);
+
+    // How long a request that came now would wait for its turn, from the last requests' times.
+    Duration expectedWait(std::size_t ahead) const;
+
+    // How long a request usually is at its endpoint.
+    Duration usualTime() const { return m_usualTime; }
+
+    std::size_t running() const { return m_running; }
+
+    WaitingLine &line() { return m_line; }
+    RetryAllowance &retries() { return m_retries; }
+
+private:
+    std::size_t m_window = 1;
+    std::size_t m_running = 0;
+    unsigned m_refusedInRow = 0;
+    TimePoint m_pausedUntil = TimePoint::min();
+    Duration m_usualTime{0};
+    WaitingLine m_line;
+    RetryAllowance m_retries;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/waitingline.cpp
@@ -0,0 +1,65 @@
+#include <burdockhead/gateway/waitingline.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace burdockhead {
+
+WaitingLine::Order WaitingLine::orderOf(const Waiter &waiter)
+{
+    return {waiter.m_priority, waiter.m_arrivedAt, waiter.m_id};
+}
+
+void WaitingLine::push(const Waiter &waiter)
+{
+    m_waiters.emplace(waiter.m_id, waiter);
+    m_onTime.emplace(orderOf(waiter), waiter.m_id);
+    m_turnsLate.emplace(waiter.m_onTimeUntil, waiter.m_id);
+}
+
+void WaitingLine::moveLate(TimePoint now)
+{
+    while (!m_turnsLate.empty() && m_turnsLate.begin()->first < now) {
+        const Waiter &waiter = m_waiters.at(m_turnsLate.begin()->second);
+        m_turnsLate.erase(m_turnsLate.begin());
+        m_onTime.erase(orderOf(waiter));
+        m_late.emplace(orderOf(waiter), waiter.m_id);
+    }
+}
+
+std::optional<Waiter> WaitingLine::pop(TimePoint now)
+{
+    moveLate(now);
+    const auto &line = m_onTime.empty() ? m_late : m_onTime;
+    if (line.empty())
+        return std::nullopt;
+    const Waiter waiter = m_waiters.at(line.begin()->second);
+    remove(waiter.m_id);
+    return waiter;
+}
+
+bool WaitingLine::remove(WaiterId id)
+{
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end())
+        return false;
+    const Waiter waiter = found->second;
+    m_waiters.erase(found);
+    m_onTime.erase(orderOf(waiter));
+    m_late.erase(orderOf(waiter));
+    const auto [first, last] = m_turnsLate.equal_range(waiter.m_onTimeUntil);
+    const auto turn =
+        std::find_if(first, last, [&](const auto &item) { return item.second == id; });
+    if (turn != last)
+        m_turnsLate.erase(turn);
+    return true;
+}
+
+std::size_t WaitingLine::ahead(const Waiter &waiter, TimePoint now)
+{
+    moveLate(now);
+    const auto before = m_onTime.lower_bound(orderOf(waiter));
+    return static_cast<std::size_t>(std::distance(m_onTime.begin(), before));
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -0,0 +1,314 @@
+#include <burdockhead/net/httpclientpool.h>
+#include <burdockhead/net/httpmessageparser.h>
+#include <burdockhead/net/httpwriting.h>
+#include <burdockhead/net/tcpstream.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr int firstFinalStatus = 200;
+// Kept for as long at the most when the peer doesn't say how long it keeps a connection.
+constexpr Milliseconds defaultIdleTime{4000};
+// Taken off the time that the peer says, which counts from its own clock and rounds.
+constexpr Milliseconds idleMargin{1000};
+
+class ClientConnection;
+
+using IdleConnections = std::map<SocketAddress, std::vector<std::shared_ptr<ClientConnection>>>;
+
+// One connection: connecting, in a call, or idle.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>,
+                         private TcpStreamOwner,
+                         private HttpMessageSink
+{
+public:
+    ClientConnection(EventLoop &loop, const SocketAddress &address, IdleConnections &idle)
+        : m_loop(loop)
+        , m_address(address)
+        , m_idle(idle)
+        , m_parser(HttpMessageType::Response, *this)
+    {}
+    ~ClientConnection() { m_loop.cancel(m_timer); }
+
+    void open(TimePoint connectBy);
+    std::uint64_t begin(std::string_view request, bool hasNoAnswerBody,
+                        HttpCallObserver &observer);
+    void cancel(std::uint64_t callNumber);
+    void close();
+
+    bool usableAt(TimePoint now, Milliseconds maxIdle) const
+    {
+        return now < m_idleUntil && now - m_idleSince <= maxIdle;
+    }
+    bool hasSent() const { return m_stream->sentBytes() > m_sentBeforeCall; }
+
+private:
+    void streamConnected() override { m_loop.cancel(m_timer); }
+    void streamReceived(std::string_view bytes) override;
+    void streamEnded(StreamEnd end) override;
+    void messageHead(HttpHead head) override;
+    void messageBody(std::string_view bytes) override;
+
+    void end(CallEnd end);
+    void complete(bool hasExtraBytes);
+    void becomeIdle();
+    void leaveIdle();
+
+    EventLoop &m_loop;
+    const SocketAddress m_address;
+    IdleConnections &m_idle;
+    std::shared_ptr<TcpStream> m_stream;
+    HttpMessageParser m_parser;
+    HttpCallObserver *m_observer = nullptr;
+    TimerId m_timer = 0;
+    TimePoint m_idleSince;
+    TimePoint m_idleUntil;
+    Milliseconds m_idleTime = defaultIdleTime;
+    bool m_hasNoAnswerBody = false;
+    bool m_isInterim = false; // The head was of a 1xx answer.
+    bool m_keeps = false;     // The peer will read another request.
+    bool m_isIdle = false;
+    std::uint64_t m_sentBeforeCall = 0; // Bytes sent on this connection for earlier calls.
+    std::uint64_t m_callNumber = 0;
+};
+
+void ClientConnection::open(TimePoint connectBy)
+{
+    m_stream = TcpStream::connect(m_loop, m_address, *this);
+    m_timer = m_loop.callAt(connectBy, [this] {
+        m_timer = 0;
+        end(CallEnd::NotSent);
+    });
+}
+
+std::uint64_t ClientConnection::begin(std::string_view request, bool hasNoAnswerBody,
+                                      HttpCallObserver &observer)
+{
+    leaveIdle();
+    m_observer = &observer;
+    m_hasNoAnswerBody = hasNoAnswerBody;
+    m_keeps = false;
+    m_sentBeforeCall = m_stream->sentBytes();
+    m_parser.reset(hasNoAnswerBody);
+    m_stream->write(request);
+    return ++m_callNumber;
+}
+
+// A connection may have gone on to another call since.
+void ClientConnection::cancel(std::uint64_t callNumber)
+{
+    if (m_observer != nullptr && m_callNumber == callNumber)
+        close();
+}
+
+void ClientConnection::close()
+{
+    m_observer = nullptr;
+    m_loop.cancel(m_timer);
+    if (m_stream)
+        m_stream->close();
+    leaveIdle();
+}
+
+void ClientConnection::streamReceived(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    if (m_observer == nullptr) {
+        close(); // Bytes that no request asked for.
+        return;
+    }
+    while (!bytes.empty() && m_observer != nullptr) {
+        bytes.remove_prefix(m_parser.feed(bytes));
+        if (m_observer == nullptr)
+            return;
+        if (m_parser.isMalformed()) {
+            end(CallEnd::Malformed);
+            return;
+        }
+        if (!m_parser.isComplete())
+            continue;
+        if (m_isInterim)
+            m_parser.reset(m_hasNoAnswerBody);
+        else
+            complete(!bytes.empty());
+    }
+}
+
+void ClientConnection::streamEnded(StreamEnd streamEnd)
+{
+    const auto self = shared_from_this();
+    if (m_observer == nullptr) {
+        close();
+        return;
+    }
+    if (!hasSent()) {
+        end(CallEnd::NotSent);
+        return;
+    }
+    if (streamEnd == StreamEnd::Finished && m_parser.hasHead()) {
+        m_parser.finish();
+        if (m_observer != nullptr && m_parser.isComplete()) {
+            m_keeps = false;
+            complete(false);
+            return;
+        }
+    }
+    if (m_observer != nullptr)
+        end(CallEnd::Broken);
+}
+
+void ClientConnection::messageHead(HttpHead head)
+{
+    m_isInterim = head.m_status < firstFinalStatus;
+    if (m_isInterim)
+        return;
+    m_keeps = head.m_keepsConnection && !head.m_endsWithConnection;
+    if (const auto seconds = keepAliveSeconds(head.m_headers)) {
+        const Milliseconds told = Seconds(*seconds);
+        m_idleTime = std::min(defaultIdleTime, std::max(told - idleMargin, told / 2));
+    }
+    if (m_observer != nullptr)
+        m_observer->callHead(head);
+}
+
+void ClientConnection::messageBody(std::string_view bytes)
+{
+    if (m_observer != nullptr)
+        m_observer->callBody(bytes);
+}
+
+void ClientConnection::end(CallEnd callEnd)
+{
+    const auto self = shared_from_this();
+    HttpCallObserver *observer = m_observer;
+    close();
+    if (observer != nullptr)
+        observer->callEnded(callEnd);
+}
+
+void ClientConnection::complete(bool hasExtraBytes)
+{
+    HttpCallObserver *observer = m_observer;
+    m_observer = nullptr;
+    if (m_keeps && !hasExtraBytes)
+        becomeIdle();
+    else
+        close();
+    observer->callEnded(CallEnd::Complete);
+}
+
+void ClientConnection::becomeIdle()
+{
+    m_isIdle = true;
+    m_idleSince = Clock::now();
+    m_idleUntil = m_idleSince + m_idleTime;
+    m_idle[m_address].push_back(shared_from_this());
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.callAt(m_idleUntil, [this] {
+        m_timer = 0;
+        const auto self = shared_from_this();
+        close();
+    });
+}
+
+void ClientConnection::leaveIdle()
+{
+    if (!m_isIdle)
+        return;
+    m_isIdle = false;
+    m_loop.cancel(m_timer);
+    const auto found = m_idle.find(m_address);
+    if (found == m_idle.end())
+        return;
+    auto &connections = found->second;
+    connections.erase(std::remove(connections.begin(), connections.end(), shared_from_this()),
+                      connections.end());
+    if (connections.empty())
+        m_idle.erase(found);
+}
+
+class PooledCall : public HttpCall
+{
+public:
+    PooledCall(std::shared_ptr<ClientConnection> connection, std::uint64_t number)
+        : m_connection(std::move(connection))
+        , m_number(number)
+    {}
+    ~PooledCall() override { m_connection->cancel(m_number); }
+    PooledCall(const PooledCall &) = delete;
+    PooledCall &operator=(const PooledCall &) = delete;
+
+    bool hasSent() const override { return m_connection->hasSent(); }
+
+private:
+    const std::shared_ptr<ClientConnection> m_connection;
+    const std::uint64_t m_number;
+};
+
+} // namespace
+
+struct HttpClientPool::Private
+{
+    explicit Private(EventLoop &loop)
+        : m_loop(loop)
+    {}
+
+    std::shared_ptr<ClientConnection> findIdle(const SocketAddress &address, Milliseconds maxIdle);
+
+    EventLoop &m_loop;
+    IdleConnections m_idle;
+    std::size_t m_connectionsMade = 0;
+};
+
+// The connection that was used last, so that those beyond the need time out.
+std::shared_ptr<ClientConnection> HttpClientPool::Private::findIdle(const SocketAddress &address,
+                                                                    Milliseconds maxIdle)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    const auto &newest = found->second.back();
+    return newest->usableAt(Clock::now(), maxIdle) ? newest : nullptr;
+}
+
+HttpClientPool::HttpClientPool(EventLoop &loop)
+    : m_d(std::make_unique<Private>(loop))
+{}
+
+HttpClientPool::~HttpClientPool() = default;
+
+std::unique_ptr<HttpCall> HttpClientPool::call(const SocketAddress &address, std::string request,
+                                               const HttpCallOptions &options,
+                                               HttpCallObserver &observer)
+{
+    auto connection = m_d->findIdle(address, options.m_maxIdle);
+    if (!connection) {
+        connection = std::make_shared<ClientConnection>(m_d->m_loop, address, m_d->m_idle);
+        connection->open(options.m_connectBy);
+        ++m_d->m_connectionsMade;
+    }
+    const auto number = connection->begin(request, options.m_hasNoAnswerBody, observer);
+    return std::make_unique<PooledCall>(connection, number);
+}
+
+void HttpClientPool::dropIdle(const SocketAddress &address)
+{
+    const auto found = m_d->m_idle.find(address);
+    if (found == m_d->m_idle.end())
+        return;
+    const auto connections = found->second;
+    for (const auto &connection : connections)
+        connection->close();
+}
+
+std::size_t HttpClientPool::connectionsMade() const
+{
+    return m_d->m_connectionsMade;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httpclientpool.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <burdockhead/base/socketaddress.h>
+#include <burdockhead/net/eventloop.h>
+#include <burdockhead/net/httphead.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace burdockhead {
+
+// How a call ended.
+enum class CallEnd {
+    Complete,  // The whole answer has come.
+    NotSent,   // No byte of the request left this process.
+    Broken,    // The connection failed or ended before the answer was whole.
+    Malformed, // What came is not an answer in HTTP.
+};
+
+// Receives the answer to a call. The call may be destroyed from within each of these.
+class HttpCallObserver
+{
+public:
+    virtual void callHead(const HttpHead &head) = 0;
+    virtual void callBody(std::string_view bytes) = 0;
+    virtual void callEnded(CallEnd end) = 0;
+
+protected:
+    ~HttpCallObserver() = default;
+};
+
+// How a call is made.
+struct HttpCallOptions
+{
+    TimePoint m_connectBy;      // When a connection that isn't made yet is given up.
+    Milliseconds m_maxIdle{0};  // A kept connection that was idle for longer isn't used.
+    bool m_hasNoAnswerBody = false; // The request is a HEAD.
+};
+
+// A call in progress; destroying it closes its connection.
+class HttpCall
+{
+public:
+    virtual ~HttpCall() = default;
+
+    // Whether a byte of the request has left this process.
+    virtual bool hasSent() const = 0;
+};
+
+// An HTTP/1.1 client with kept connections. A request is written once and never again.
+class HttpClientPool
+{
+public:
+    explicit HttpClientPool(EventLoop &loop);
+    ~HttpClientPool();
+    HttpClientPool(const HttpClientPool &) = delete;
+    HttpClientPool &operator=(const HttpClientPool &) = delete;
+
+    // Sends a request given as its bytes. The observer hears nothing before this returns.
+    std::unique_ptr<HttpCall> call(const SocketAddress &address, std::string request,
+                                   const HttpCallOptions &options, HttpCallObserver &observer);
+
+    // Closes the idle connections to an address.
+    void dropIdle(const SocketAddress &address);
+
+    // Connections that were made since the start.
+    std::size_t connectionsMade() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httpexchange.cpp
@@ -0,0 +1,72 @@
+#include <burdockhead/net/httpexchange.h>
+#include <burdockhead/net/httpserverconnection.h>
+#include <burdockhead/net/httpwriting.h>
+
+namespace burdockhead {
+
+HttpExchange::HttpExchange(std::weak_ptr<HttpServerConnection> connection, HttpHead head,
+                           std::string body)
+    : m_connection(std::move(connection))
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+{}
+
+void HttpExchange::answer(int status, HttpHeaders headers, std::string_view body)
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_isOver || m_hasStarted)
+        return;
+    m_hasStarted = true;
+    headers.push_back({"Content-Length", std::to_string(body.size())});
+    if (connection->willClose())
+        headers.push_back({"Connection", "close"});
+    std::string text = responseHead(status, headers);
+    if (m_head.m_method != "HEAD")
+        text.append(body);
+    connection->write(text);
+    m_isOver = true;
+    m_clientGone = nullptr;
+    connection->answerEnded(*this, true);
+}
+
+void HttpExchange::startAnswer(int status, HttpHeaders headers)
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_isOver || m_hasStarted)
+        return;
+    m_hasStarted = true;
+    headers.push_back({"Transfer-Encoding", "chunked"});
+    if (connection->willClose())
+        headers.push_back({"Connection", "close"});
+    connection->write(responseHead(status, headers));
+}
+
+void HttpExchange::sendPart(std::string_view bytes)
+{
+    const auto connection = m_connection.lock();
+    if (connection && !m_isOver && m_hasStarted && !bytes.empty())
+        connection->write(chunk(bytes));
+}
+
+void HttpExchange::finishAnswer()
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_isOver || !m_hasStarted)
+        return;
+    connection->write(chunk({}));
+    m_isOver = true;
+    m_clientGone = nullptr;
+    connection->answerEnded(*this, true);
+}
+
+void HttpExchange::breakOff()
+{
+    const auto connection = m_connection.lock();
+    if (!connection || m_isOver)
+        return;
+    m_isOver = true;
+    m_clientGone = nullptr;
+    connection->answerEnded(*this, false);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httplistener.cpp
@@ -0,0 +1,115 @@
+#include <burdockhead/net/httplistener.h>
+#include <burdockhead/net/httpserverconnection.h>
+#include <burdockhead/observe/log.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <unordered_map>
+#include <vector>
+
+namespace burdockhead {
+
+namespace {
+
+// The pause after an accept that failed, for want of descriptors for example.
+constexpr Milliseconds acceptRetryPause{100};
+
+} // namespace
+
+struct HttpListener::Private
+{
+    Private(EventLoop &loop, HttpExchangeHandler handler)
+        : m_shared{loop, std::move(handler), {}, false, 0, {}}
+        , m_acceptor(loop.context())
+    {
+        m_shared.m_forget = [this](HttpServerConnection &connection) {
+            m_connections.erase(&connection);
+        };
+    }
+
+    void accept();
+    void accepted(asio::ip::tcp::socket socket);
+
+    HttpServerShared m_shared;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> m_connections;
+};
+
+void HttpListener::Private::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            logWarning("accept_failed", {{"reason", error.message()}});
+            m_shared.m_loop.callAt(Clock::now() + acceptRetryPause, [this] { accept(); });
+            return;
+        }
+        accepted(std::move(socket));
+        accept();
+    });
+}
+
+void HttpListener::Private::accepted(asio::ip::tcp::socket socket)
+{
+    asio::error_code error;
+    socket.non_blocking(true, error);
+    const int descriptor = socket.release(error);
+    if (error) {
+        logWarning("accept_failed", {{"reason", error.message()}});
+        return;
+    }
+    auto connection = std::make_shared<HttpServerConnection>(m_shared, descriptor);
+    connection->start();
+    m_connections.emplace(connection.get(), connection);
+}
+
+HttpListener::HttpListener(EventLoop &loop, HttpExchangeHandler handler)
+    : m_d(std::make_unique<Private>(loop, std::move(handler)))
+{}
+
+HttpListener::~HttpListener() = default;
+
+bool HttpListener::start(const SocketAddress &address, std::string &error)
+{
+    asio::error_code failure;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.m_host, failure),
+                                           address.m_port);
+    if (!failure)
+        m_d->m_acceptor.open(endpoint.protocol(), failure);
+    if (!failure)
+        m_d->m_acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        m_d->m_acceptor.bind(endpoint, failure);
+    if (!failure)
+        m_d->m_acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    if (failure) {
+        error = address.toString() + ": " + failure.message();
+        return false;
+    }
+    m_d->accept();
+    return true;
+}
+
+void HttpListener::setLimits(const HttpServerLimits &limits)
+{
+    m_d->m_shared.m_limits = limits;
+}
+
+void HttpListener::closeAfterAnswers()
+{
+    m_d->m_shared.m_closesAfterAnswers = true;
+}
+
+void HttpListener::closeIdle()
+{
+    for (const auto &[pointer, connection] : m_d->m_connections)
+        connection->closeIfIdle();
+}
+
+std::size_t HttpListener::openRequests() const
+{
+    return m_d->m_shared.m_openRequests;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httplistener.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <burdockhead/base/socketaddress.h>
+#include <burdockhead/net/eventloop.h>
+#include <burdockhead/net/httpexchange.h>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace burdockhead {
+
+// What clients may send, and how long they may take.
+struct HttpServerLimits
+{
+    std::size_t m_maxHeaderBytes = 16384;
+    std::size_t m_maxBodyBytes = 4 << 20;
+    Milliseconds m_headerTimeout{3000};
+    Milliseconds m_idleTimeout{15000};
+
+    friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
+};
+
+// An HTTP/1.1 server on one address. It reads on while a request is in work, so that it
+// notices when the client leaves.
+class HttpListener
+{
+public:
+    HttpListener(EventLoop &loop, HttpExchangeHandler handler);
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
+
+    // Opens the port; false with the reason when it can't be opened.
+    bool start(const SocketAddress &address, std::string &error);
+
+    void setLimits(const HttpServerLimits &limits);
+
+    // From now on each answer closes its connection.
+    void closeAfterAnswers();
+
+    // Closes the connections on which no request is in work.
+    void closeIdle();
+
+    // Requests in work.
+    std::size_t openRequests() const;
+
+private:
+    friend class HttpServerConnection;
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httpmessageparser.cpp
@@ -0,0 +1,183 @@
+#include <burdockhead/net/httpmessageparser.h>
+
+#include <http_parser.h>
+
+#include <limits>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::uint64_t noContentLength = std::numeric_limits<std::uint64_t>::max();
+
+bool mayHaveBody(unsigned status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
+} // namespace
+
+struct HttpMessageParser::Private
+{
+    Private(HttpMessageType type, HttpMessageSink &sink)
+        : m_type(type)
+        , m_sink(sink)
+    {}
+
+    static Private &of(http_parser *parser) { return *static_cast<Private *>(parser->data); }
+    static http_parser_settings callbacks();
+    int headComplete(http_parser *parser);
+
+    const HttpMessageType m_type;
+    HttpMessageSink &m_sink;
+    http_parser m_parser{};
+    HttpHead m_head;
+    bool m_lastWasValue = true;
+    bool m_hasNoBody = false;
+    bool m_hasHead = false;
+    bool m_isComplete = false;
+    bool m_isMalformed = false;
+    std::size_t m_headBytes = 0;
+    std::size_t m_bytes = 0;
+};
+
+int HttpMessageParser::Private::headComplete(http_parser *parser)
+{
+    if (parser->upgrade != 0 && m_type == HttpMessageType::Request) {
+        m_isMalformed = true; // Tunnels are not offered.
+        return -1;
+    }
+    m_hasHead = true;
+    m_head.m_status = parser->status_code;
+    if (m_type == HttpMessageType::Request)
+        m_head.m_method = http_method_str(static_cast<http_method>(parser->method));
+    m_head.m_keepsConnection = http_should_keep_alive(parser) != 0;
+    const bool isChunked = (parser->flags & F_CHUNKED) != 0;
+    if (parser->content_length != noContentLength && !isChunked)
+        m_head.m_contentLength = parser->content_length;
+    m_head.m_endsWithConnection = m_type == HttpMessageType::Response && !m_hasNoBody && !isChunked
+        && !m_head.m_contentLength && mayHaveBody(parser->status_code);
+    m_sink.messageHead(std::move(m_head));
+    return m_hasNoBody ? 1 : 0;
+}
+
+http_parser_settings HttpMessageParser::Private::callbacks()
+{
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
+        of(parser).m_head.m_target.append(at, length);
+        return 0;
+    };
+    settings.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
+        Private &d = of(parser);
+        if (d.m_hasHead)
+            return 0; // Trailers are dropped.
+        if (d.m_lastWasValue)
+            d.m_head.m_headers.emplace_back();
+        d.m_lastWasValue = false;
+        d.m_head.m_headers.back().m_name.append(at, length);
+        return 0;
+    };
+    settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
+        Private &d = of(parser);
+        if (d.m_hasHead || d.m_head.m_headers.empty())
+            return 0;
+        d.m_lastWasValue = true;
+        d.m_head.m_headers.back().m_value.append(at, length);
+        return 0;
+    };
+    settings.on_headers_complete = [](http_parser *parser) {
+        return of(parser).headComplete(parser);
+    };
+    settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
+        of(parser).m_sink.messageBody({at, length});
+        return 0;
+    };
+    settings.on_message_complete = [](http_parser *parser) {
+        of(parser).m_isComplete = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    };
+    return settings;
+}
+
+HttpMessageParser::HttpMessageParser(HttpMessageType type, HttpMessageSink &sink)
+    : m_d(std::make_unique<Private>(type, sink))
+{
+    reset();
+}
+
+HttpMessageParser::~HttpMessageParser() = default;
+
+void HttpMessageParser::reset(bool hasNoBody)
+{
+    Private &d = *m_d;
+    http_parser_init(&d.m_parser,
+                     d.m_type == HttpMessageType::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    d.m_parser.data = &d;
+    d.m_head = {};
+    d.m_lastWasValue = true;
+    d.m_hasNoBody = hasNoBody;
+    d.m_hasHead = false;
+    d.m_isComplete = false;
+    d.m_isMalformed = false;
+    d.m_headBytes = 0;
+    d.m_bytes = 0;
+}
+
+std::size_t HttpMessageParser::feed(std::string_view bytes)
+{
+    static const http_parser_settings settings = Private::callbacks();
+    Private &d = *m_d;
+    if (d.m_isMalformed || d.m_isComplete || bytes.empty())
+        return 0;
+    const bool hadHead = d.m_hasHead;
+    const std::size_t used =
+        http_parser_execute(&d.m_parser, &settings, bytes.data(), bytes.size());
+    if (!hadHead)
+        d.m_headBytes += used;
+    d.m_bytes += used;
+    const auto error = HTTP_PARSER_ERRNO(&d.m_parser);
+    if (!d.m_isComplete && (error != HPE_OK || used != bytes.size()))
+        d.m_isMalformed = true;
+    return used;
+}
+
+void HttpMessageParser::finish()
+{
+    static const http_parser_settings settings = Private::callbacks();
+    Private &d = *m_d;
+    if (d.m_isMalformed || d.m_isComplete)
+        return;
+    (void)http_parser_execute(&d.m_parser, &settings, nullptr, 0);
+    if (!d.m_isComplete)
+        d.m_isMalformed = true;
+}
+
+bool HttpMessageParser::isMalformed() const
+{
+    return m_d->m_isMalformed;
+}
+
+bool HttpMessageParser::isComplete() const
+{
+    return m_d->m_isComplete;
+}
+
+bool HttpMessageParser::hasBegun() const
+{
+    return m_d->m_bytes > 0;
+}
+
+bool HttpMessageParser::hasHead() const
+{
+    return m_d->m_hasHead;
+}
+
+std::size_t HttpMessageParser::headBytes() const
+{
+    return m_d->m_headBytes;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/httpserverconnection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <burdockhead/net/httplistener.h>
+#include <burdockhead/net/httpmessageparser.h>
+#include <burdockhead/net/tcpstream.h>
+
+namespace burdockhead {
+
+// What the connections of one listener share.
+struct HttpServerShared
+{
+    EventLoop &m_loop;
+    HttpExchangeHandler m_handler;
+    HttpServerLimits m_limits;
+    bool m_closesAfterAnswers = false;
+    std::size_t m_openRequests = 0;
+    std::function<void(HttpServerConnection &)> m_forget; // Drops a closed connection.
+};
+
+// One client's connection: one request after the other, each answered before the next.
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>,
+                             private TcpStreamOwner,
+                             private HttpMessageSink
+{
+public:
+    HttpServerConnection(HttpServerShared &shared, int descriptor);
+    ~HttpServerConnection();
+
+    // Starts the timer of the first request.
+    void start();
+
+    // Closes the connection if no request is in work and none has begun to arrive.
+    void closeIfIdle();
+
+    void write(std::string_view bytes);
+    void answerEnded(HttpExchange &exchange, bool isWhole);
+    bool willClose() const;
+
+private:
+    void streamReceived(std::string_view bytes) override;
+    void streamEnded(StreamEnd end) override;
+    void messageHead(HttpHead head) override;
+    void messageBody(std::string_view bytes) override;
+
+    void consume(std::string_view bytes);
+    bool refuseMalformed();
+    void refuse(int status);
+    void startExchange();
+    void nextRequest();
+    void lingerAndClose();
+    void close();
+    void setTimer(Milliseconds span);
+
+    HttpServerShared &m_shared;
+    std::shared_ptr<TcpStream> m_stream;
+    HttpMessageParser m_parser;
+    HttpHead m_head;
+    std::string m_body;
+    std::string m_pending; // Came while a request was in work.
+    std::shared_ptr<HttpExchange> m_exchange;
+    TimerId m_timer = 0;
+    bool m_bodyTooLarge = false;
+    bool m_isConsuming = false;
+    bool m_isLingering = false; // Everything is written; waits for the client to close.
+    bool m_isClosed = false;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/net/tcpstream.cpp
@@ -0,0 +1,213 @@
+#include <burdockhead/net/tcpstream.h>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace burdockhead {
+
+namespace {
+
+// Small, since each of a few hundred connections has one.
+constexpr std::size_t readBufferBytes = 4096;
+// Seconds of silence before the first keep-alive probe, between probes, and their number: a
+// dead peer is noticed within about three seconds, the platform's span of stability.
+constexpr int keepAliveIdleSeconds = 1;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+// Milliseconds that sent bytes may stay unacknowledged; the same span.
+constexpr unsigned unacknowledgedMilliseconds = 3000;
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    // An option that can't be set leaves a connection that notices a dead peer later.
+    (void)setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+void setTimeouts(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+}
+
+} // namespace
+
+struct TcpStream::Private : std::enable_shared_from_this<Private>
+{
+    Private(EventLoop &loop, TcpStreamOwner &owner)
+        : m_socket(loop.context())
+        , m_owner(&owner)
+    {}
+
+    void connect(const SocketAddress &address);
+    void read();
+    void send();
+    void end(StreamEnd end);
+    void close();
+
+    asio::ip::tcp::socket m_socket;
+    TcpStreamOwner *m_owner; // Null after close().
+    std::array<char, readBufferBytes> m_buffer{};
+    std::string m_queued;  // Waits for the send in progress.
+    std::string m_sending; // Is being sent, from m_sentOffset on.
+    std::size_t m_sentOffset = 0;
+    bool m_connected = false;
+    bool m_isSending = false;
+    bool m_finishes = false;
+    std::uint64_t m_sentBytes = 0;
+};
+
+void TcpStream::Private::connect(const SocketAddress &address)
+{
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(address.m_host, error);
+    if (!error)
+        m_socket.open(asio::ip::tcp::v4(), error);
+    if (error) {
+        asio::post(m_socket.get_executor(),
+                   [self = shared_from_this()] { self->end(StreamEnd::Failed); });
+        return;
+    }
+    setTimeouts(m_socket.native_handle());
+    m_socket.async_connect({ip, address.m_port},
+                           [self = shared_from_this()](const asio::error_code &failure) {
+                               if (self->m_owner == nullptr)
+                                   return;
+                               if (failure) {
+                                   self->end(StreamEnd::Failed);
+                                   return;
+                               }
+                               self->m_connected = true;
+                               self->m_owner->streamConnected();
+                               self->send();
+                               self->read();
+                           });
+}
+
+void TcpStream::Private::read()
+{
+    if (m_owner == nullptr)
+        return;
+    m_socket.async_read_some(
+        asio::buffer(m_buffer),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
+            if (self->m_owner == nullptr)
+                return;
+            if (error) {
+                self->end(error == asio::error::eof ? StreamEnd::Finished : StreamEnd::Failed);
+                return;
+            }
+            self->m_owner->streamReceived({self->m_buffer.data(), count});
+            self->read();
+        });
+}
+
+void TcpStream::Private::send()
+{
+    if (m_owner == nullptr || !m_connected || m_isSending)
+        return;
+    if (m_sentOffset == m_sending.size()) {
+        m_sending.clear();
+        m_sentOffset = 0;
+        m_sending.swap(m_queued);
+    }
+    if (m_sending.empty()) {
+        asio::error_code ignored; // The peer may have gone already; reading tells.
+        if (m_finishes)
+            m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        return;
+    }
+    m_isSending = true;
+    m_socket.async_write_some(
+        asio::buffer(m_sending.data() + m_sentOffset, m_sending.size() - m_sentOffset),
+        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
+            self->m_isSending = false;
+            self->m_sentBytes += count;
+            if (self->m_owner == nullptr)
+                return;
+            if (error) {
+                self->end(StreamEnd::Failed);
+                return;
+            }
+            self->m_sentOffset += count;
+            self->send();
+        });
+}
+
+void TcpStream::Private::end(StreamEnd end)
+{
+    if (m_owner != nullptr)
+        m_owner->streamEnded(end);
+}
+
+void TcpStream::Private::close()
+{
+    m_owner = nullptr;
+    asio::error_code ignored; // Closing frees the descriptor whatever it reports.
+    m_socket.close(ignored);
+}
+
+TcpStream::TcpStream(std::shared_ptr<Private> d)
+    : m_d(std::move(d))
+{}
+
+TcpStream::~TcpStream()
+{
+    m_d->close();
+}
+
+std::shared_ptr<TcpStream> TcpStream::connect(EventLoop &loop, const SocketAddress &address,
+                                              TcpStreamOwner &owner)
+{
+    auto d = std::make_shared<Private>(loop, owner);
+    d->connect(address);
+    return std::shared_ptr<TcpStream>(new TcpStream(std::move(d)));
+}
+
+std::shared_ptr<TcpStream> TcpStream::adopt(EventLoop &loop, int descriptor, TcpStreamOwner &owner)
+{
+    auto d = std::make_shared<Private>(loop, owner);
+    asio::error_code error;
+    d->m_socket.assign(asio::ip::tcp::v4(), descriptor, error);
+    d->m_connected = !error;
+    setTimeouts(descriptor);
+    // Reading begins later, so that the owner is whole by then.
+    asio::post(d->m_socket.get_executor(), [d] { d->read(); });
+    return std::shared_ptr<TcpStream>(new TcpStream(std::move(d)));
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    m_d->m_queued.append(bytes);
+    m_d->send();
+}
+
+void TcpStream::finishWriting()
+{
+    m_d->m_finishes = true;
+    m_d->send();
+}
+
+void TcpStream::close()
+{
+    m_d->close();
+}
+
+std::uint64_t TcpStream::sentBytes() const
+{
+    return m_d->m_sentBytes;
+}
+
+std::size_t TcpStream::queuedBytes() const
+{
+    return m_d->m_queued.size() + m_d->m_sending.size() - m_d->m_sentOffset;
+}
+
+} // namespace burdockhead
--- a/src/burdockhead/operators/commandline.cpp
+++ b/src/burdockhead/operators/commandline.cpp
@@ -89,9 +89,29 @@
     const auto runAgent = [runners](CommandContext &context) {
         return runAgentCommand(context, runners);
     };
+    const auto runGateway = [runners](CommandContext &context) {
+        return runGatewayCommand(context, runners);
+    };
+    const auto runRankAgent = [runners](CommandContext &context) {
+        return runRankAgentCommand(context, runners);
+    };
     return {
         {"entry", "", "Runs an entry, which answers callers", {"settings"}, 0, 0, runEntry},
         {"agent", "", "Runs the agent of an endpoint", {"settings"}, 0, 0, runAgent},
+        {"gateway",
+         "",
+         "Runs a gateway, which brings requests to endpoints without agents",
+         {"settings"},
+         0,
+         0,
+         runGateway},
+        {"rank-agent",
+         "",
+         "Runs the agent beside a rank, which keeps its group's experts spread evenly",
+         {"settings"},
+         0,
+         0,
+         runRankAgent},
         {"check",
          "FILE...",
          "Checks settings files and configurations",
--- a/src/burdockhead/operators/processcommands.cpp
+++ b/src/burdockhead/operators/processcommands.cpp
@@ -13,7 +13,8 @@
 using Parse = std::optional<Settings> (*)(const std::string &, const std::string &, Diagnostics &);
 
 template <typename Settings>
-int runProcess(CommandContext &context, Parse<Settings> parse, int (*run)(const Settings &))
+int runProcess(CommandContext &context, Parse<Settings> parse,
+               const std::function<int(const Settings &)> &run)
 {
     const std::string &fileName = context.m_options.m_settingsFile;
     if (fileName.empty()) {
@@ -46,4 +47,21 @@
     return runProcess<AgentSettings>(context, parseAgentSettings, runners.m_runAgent);
 }
 
+int runRankAgentCommand(CommandContext &context, const ProcessRunners &runners)
+{
+    return runProcess<RankAgentSettings>(context, parseRankAgentSettings, runners.m_runRankAgent);
+}
+
+int runGatewayCommand(CommandContext &context, const ProcessRunners &runners)
+{
+    const std::string fileName = context.m_options.m_settingsFile;
+    const ReadGatewaySettings readAgain = [fileName] {
+        Diagnostics diagnostics;
+        return parseGatewaySettings(readTextFile(fileName).value_or(""), fileName, diagnostics);
+    };
+    return runProcess<GatewaySettings>(
+        context, parseGatewaySettings,
+        [&](const GatewaySettings &settings) { return runners.m_runGateway(settings, readAgain); });
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/operators/processcommands.h
+++ b/src/burdockhead/operators/processcommands.h
@@ -8,5 +8,7 @@
 // Read the settings file and run the process. They return the exit status.
 int runEntryCommand(CommandContext &context, const ProcessRunners &runners);
 int runAgentCommand(CommandContext &context, const ProcessRunners &runners);
+int runGatewayCommand(CommandContext &context, const ProcessRunners &runners);
+int runRankAgentCommand(CommandContext &context, const ProcessRunners &runners);
 
 } // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/agentcall.cpp
@@ -0,0 +1,55 @@
+#include <burdockhead/net/httpwriting.h>
+#include <burdockhead/rankagent/agentcall.h>
+
+namespace burdockhead {
+
+namespace {
+
+// A kept connection that was idle for longer isn't used, since the other side may close it.
+constexpr Milliseconds maxIdle{2000};
+
+} // namespace
+
+AgentCall::AgentCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
+                     const std::string &method, const std::string &target, const std::string &body,
+                     TimePoint deadline, Done done)
+    : m_loop(loop)
+    , m_address(address)
+    , m_done(std::move(done))
+{
+    HttpHeaders headers = {{"Host", address.toString()}};
+    if (!body.empty()) {
+        headers.push_back({"Content-Type", "application/json"});
+        headers.push_back({"Content-Length", std::to_string(body.size())});
+    }
+    m_call = client.call(address, requestHead(method, target, headers) + body,
+                         {deadline, maxIdle, false}, *this);
+    m_timer = loop.callAt(deadline, [this] {
+        m_timer = 0;
+        m_status = 0;
+        finish();
+    });
+}
+
+AgentCall::~AgentCall()
+{
+    m_loop.cancel(m_timer);
+}
+
+void AgentCall::callEnded(CallEnd end)
+{
+    if (end != CallEnd::Complete)
+        m_status = 0;
+    finish();
+}
+
+void AgentCall::finish()
+{
+    m_call.reset();
+    m_loop.cancel(m_timer);
+    m_isDone = true;
+    const Done done = std::move(m_done);
+    done(*this);
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/agentcall.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <burdockhead/net/httpclientpool.h>
+
+#include <functional>
+#include <string>
+
+namespace burdockhead {
+
+// One request of an agent with a short answer.
+class AgentCall : private HttpCallObserver
+{
+public:
+    using Done = std::function<void(AgentCall &)>;
+
+    // Sends the request; `done` is called once, unless the call is destroyed before.
+    AgentCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
+              const std::string &method, const std::string &target, const std::string &body,
+              TimePoint deadline, Done done);
+    ~AgentCall();
+    AgentCall(const AgentCall &) = delete;
+    AgentCall &operator=(const AgentCall &) = delete;
+
+    const SocketAddress &address() const { return m_address; }
+
+    // The answer's status; 0 when there was none.
+    int status() const { return m_status; }
+    const std::string &body() const { return m_body; }
+    bool isDone() const { return m_isDone; }
+
+private:
+    void callHead(const HttpHead &head) override { m_status = head.m_status; }
+    void callBody(std::string_view bytes) override { m_body.append(bytes); }
+    void callEnded(CallEnd end) override;
+    void finish();
+
+    EventLoop &m_loop;
+    const SocketAddress m_address;
+    Done m_done;
+    std::unique_ptr<HttpCall> m_call;
+    TimerId m_timer = 0;
+    int m_status = 0;
+    std::string m_body;
+    bool m_isDone = false;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/maprollout.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <burdockhead/rankagent/rankorder.h>
+#include <burdockhead/rankagent/rankview.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace burdockhead {
+
+// What a round of a rollout comes to.
+struct RolloutStep
+{
+    std::vector<RankOrder> m_orders; // To be given in any order.
+    bool m_needsPlan = false;        // A map with a higher version has to be planned first.
+    bool m_isHolding = false;        // The group is or will be held; hurry.
+    bool m_isDone = false;           // The planned map is in use on every rank.
+};
+
+// Brings a group of ranks from one expert map to the next, so that no step is begun while two
+// ranks have different maps. Works out each round's orders from what the ranks say, so that an
+// order that was lost is given again, and a process that starts in the midst of a change ends it.
+//
+// The map is prepared on all ranks. Then rank 0 is told to hold the group before a step that
+// is a little ahead, and once it says that it does, all ranks are armed for that step. The
+// group goes on when all say that they are armed. Nothing is ever armed without a hold, and a
+// hold is released only when either all ranks are armed alike or none can be armed any more:
+// an order whose answer was lost may be carried out seconds later, and one that arms a rank
+// does harm only before its step has begun. For the same reason a version that any rank was
+// told not to use is never armed again.
+class MapRollout
+{
+public:
+    // The next orders, from the views of all ranks in the order of their ranks and the version
+    // that is planned; none without a plan.
+    RolloutStep next(const std::vector<RankView> &views, std::optional<std::uint64_t> planned);
+
+    // A version higher than all that the ranks tell of.
+    static std::uint64_t nextVersion(const std::vector<RankView> &views);
+
+private:
+    RolloutStep nextWhileHeld(const std::vector<RankView> &views, std::uint64_t step,
+                              std::optional<std::uint64_t> planned);
+    RolloutStep nextWhileFree(const std::vector<RankView> &views,
+                              std::optional<std::uint64_t> planned) const;
+    std::optional<std::uint64_t> commonPrepared(const std::vector<RankView> &views) const;
+    void disarm(const std::vector<RankView> &views, RolloutStep &result);
+
+    std::uint64_t m_highestDisarmed = 0;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -0,0 +1,283 @@
+#include <burdockhead/gateway/storefollower.h>
+#include <burdockhead/net/httplistener.h>
+#include <burdockhead/observe/log.h>
+#include <burdockhead/process/processstart.h>
+#include <burdockhead/rankagent/agentcall.h>
+#include <burdockhead/rankagent/rankagentprocess.h>
+#include <burdockhead/rankagent/rankcoordinator.h>
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+
+namespace burdockhead {
+
+namespace {
+
+// How often the own rank is looked at while nobody asks for it.
+constexpr Milliseconds lookInterval{500};
+constexpr Milliseconds linesInterval{100};
+// How long the engine on this machine may take to answer.
+constexpr Milliseconds engineTimeout{120};
+// The counts change slowly against the views and are long; they are read again after this.
+constexpr Milliseconds countsInterval{350};
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr int statusNoAnswer = 504;
+
+// The agent with everything that it consists of.
+class RankAgentProcess
+{
+public:
+    RankAgentProcess(const RankAgentSettings &settings, const RankAgentDialects &dialects);
+
+    bool start(std::string &error);
+    void run() { m_loop.run(); }
+
+private:
+    using Answered = std::function<void(const AgentCall &)>;
+
+    StoreFollowerParts followerParts();
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void answerStatus(const std::shared_ptr<HttpExchange> &exchange);
+    void passOrder(const std::shared_ptr<HttpExchange> &exchange);
+    void askEngine(const std::string &method, const std::string &target, const std::string &body,
+                   Answered answered);
+    void readView(std::function<void()> then);
+    void readCounts(std::function<void()> then);
+    void readExperts(std::function<void()> then);
+    void look();
+    void coordinate();
+    void takeEndpoints(const std::vector<StoreChange> &changes, bool isList);
+    void takeConfiguration(const std::vector<StoreChange> &changes);
+    void writeLines();
+
+    const RankAgentSettings m_settings;
+    const RankAgentDialects m_dialects;
+    EventLoop m_loop;
+    LineSink m_lines;
+    Metrics m_metrics;
+    HttpClientPool m_engineClient;
+    HttpClientPool m_agentClient;
+    HttpClientPool m_storeClient;
+    RankCoordinator m_coordinator;
+    StoreFollower m_configurationFollower;
+    StoreFollower m_endpointFollower;
+    HttpListener m_listener;
+    std::vector<std::unique_ptr<AgentCall>> m_calls;
+    std::map<EndpointName, EndpointEntry> m_endpoints; // Of the own service.
+    std::optional<RankView> m_view;
+    ExpertCounts m_counts;
+    RankExperts m_experts;
+    TimePoint m_countsAgainAt;
+    bool m_isFollowing = false;
+};
+
+RankAgentProcess::RankAgentProcess(const RankAgentSettings &settings,
+                                   const RankAgentDialects &dialects)
+    : m_settings(settings)
+    , m_dialects(dialects)
+    , m_lines(STDOUT_FILENO, settings.m_name.text(), LineSink::Options())
+    , m_engineClient(m_loop)
+    , m_agentClient(m_loop)
+    , m_storeClient(m_loop)
+    , m_coordinator({m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics},
+                    Random(systemSeed()))
+    , m_configurationFollower(followerParts(), StoreKind::Configuration,
+                              {[this](const auto &changes) { takeConfiguration(changes); },
+                               [this](const auto &changes) { takeConfiguration(changes); }},
+                              Random(systemSeed()))
+    , m_endpointFollower(followerParts(), StoreKind::Endpoints,
+                         {[this](const auto &changes) { takeEndpoints(changes, true); },
+                          [this](const auto &changes) { takeEndpoints(changes, false); }},
+                         Random(systemSeed()))
+    , m_listener(m_loop, [this](const auto &exchange) { handle(exchange); })
+{}
+
+StoreFollowerParts RankAgentProcess::followerParts()
+{
+    return {m_loop, m_storeClient, m_dialects.m_store, m_settings.m_store, m_lines, m_metrics};
+}
+
+bool RankAgentProcess::start(std::string &error)
+{
+    m_loop.onSignal(SIGTERM, [this] {
+        m_lines.add("stopped", {});
+        m_lines.flush();
+        m_loop.stop();
+    });
+    m_loop.onSignal(SIGINT, [this] { m_loop.stop(); });
+    m_loop.onSignal(SIGHUP, [] {}); // Nothing of the settings can change while it runs.
+    if (!m_listener.start(m_settings.m_agents, error))
+        return false;
+    m_lines.add("started", {{"endpoint", m_settings.m_endpoint.toString()}});
+    look();
+    writeLines();
+    return true;
+}
+
+void RankAgentProcess::askEngine(const std::string &method, const std::string &target,
+                                 const std::string &body, Answered answered)
+{
+    std::erase_if(m_calls, [](const auto &call) { return call->isDone(); });
+    m_calls.push_back(std::make_unique<AgentCall>(
+        m_loop, m_engineClient, m_settings.m_endpoint, method, target, body,
+        Clock::now() + engineTimeout,
+        [answered = std::move(answered)](AgentCall &call) { answered(call); }));
+}
+
+void RankAgentProcess::readView(std::function<void()> then)
+{
+    askEngine("GET", m_dialects.m_engine.viewTarget(), "",
+              [this, then = std::move(then)](const AgentCall &call) {
+                  m_view = call.status() == statusOk
+                      ? m_dialects.m_engine.readView(call.body())
+                      : std::optional<RankView>();
+                  then();
+              });
+}
+
+void RankAgentProcess::readCounts(std::function<void()> then)
+{
+    if (Clock::now() < m_countsAgainAt) {
+        then();
+        return;
+    }
+    m_countsAgainAt = Clock::now() + countsInterval;
+    askEngine("GET", m_dialects.m_engine.countsTarget(), "",
+              [this, then = std::move(then)](const AgentCall &call) {
+                  if (call.status() == statusOk)
+                      m_counts = m_dialects.m_engine.readCounts(call.body()).value_or(m_counts);
+                  then();
+              });
+}
+
+void RankAgentProcess::readExperts(std::function<void()> then)
+{
+    if (!m_view || (m_experts.m_version == m_view->m_map && !m_experts.m_layers.empty())) {
+        then();
+        return;
+    }
+    askEngine("GET", m_dialects.m_engine.expertsTarget(), "",
+              [this, then = std::move(then)](const AgentCall &call) {
+                  if (call.status() == statusOk)
+                      m_experts =
+                          m_dialects.m_engine.readExperts(call.body()).value_or(m_experts);
+                  then();
+              });
+}
+
+void RankAgentProcess::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string &target = exchange->head().m_target;
+    if (target == rankStatusTarget)
+        answerStatus(exchange);
+    else if (target == rankOrderTarget)
+        passOrder(exchange);
+    else if (target == "/metrics")
+        exchange->answer(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                         m_metrics.toPrometheus());
+    else
+        exchange->answer(404, {}, "");
+}
+
+// The view is read last, so that it is the newest part of the answer.
+void RankAgentProcess::answerStatus(const std::shared_ptr<HttpExchange> &exchange)
+{
+    readCounts([this, exchange] {
+        readExperts([this, exchange] {
+            readView([this, exchange] {
+                if (m_view)
+                    exchange->answer(statusOk, {}, writeRankStatus({*m_view, m_counts, m_experts}));
+                else
+                    exchange->answer(statusUnavailable, {}, "");
+            });
+        });
+    });
+}
+
+void RankAgentProcess::passOrder(const std::shared_ptr<HttpExchange> &exchange)
+{
+    askEngine("POST", m_dialects.m_engine.orderTarget(), exchange->body(),
+              [exchange](const AgentCall &call) {
+                  exchange->answer(call.status() == 0 ? statusNoAnswer : call.status(), {}, "");
+              });
+}
+
+void RankAgentProcess::look()
+{
+    readView([this] { coordinate(); });
+    m_loop.callAt(Clock::now() + lookInterval, [this] { look(); });
+}
+
+void RankAgentProcess::coordinate()
+{
+    const bool isFirst = m_view && m_view->m_rank == 0 && m_view->m_ranks > 1;
+    if (isFirst && !m_isFollowing) {
+        m_configurationFollower.start();
+        m_endpointFollower.start();
+    } else if (!isFirst && m_isFollowing && m_view) {
+        m_configurationFollower.stop();
+        m_endpointFollower.stop();
+    }
+    if (m_view || !m_isFollowing) {
+        m_isFollowing = isFirst;
+        m_coordinator.setGroup(isFirst ? std::optional(m_view->m_group) : std::nullopt);
+    }
+}
+
+void RankAgentProcess::takeEndpoints(const std::vector<StoreChange> &changes, bool isList)
+{
+    if (isList)
+        m_endpoints.clear();
+    for (const StoreChange &change : changes) {
+        const auto *entry = std::get_if<EndpointEntry>(&change.m_value);
+        if (entry != nullptr && entry->m_service == m_settings.m_service)
+            m_endpoints[entry->m_name] = *entry;
+        else if (change.m_isRemoved)
+            m_endpoints.erase(EndpointName(change.m_name));
+    }
+    // Agents listen on the same port of every machine.
+    std::vector<SocketAddress> agents;
+    for (const auto &[name, entry] : m_endpoints)
+        agents.push_back({entry.m_address.m_host, m_settings.m_agents.m_port});
+    std::sort(agents.begin(), agents.end());
+    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
+    m_coordinator.setAgents(std::move(agents));
+}
+
+void RankAgentProcess::takeConfiguration(const std::vector<StoreChange> &changes)
+{
+    for (const StoreChange &change : changes) {
+        const auto *configuration = std::get_if<GatewayConfigurationPointer>(&change.m_value);
+        if (configuration == nullptr)
+            continue;
+        const GatewayService *service = (*configuration)->findService(m_settings.m_service);
+        if (service != nullptr)
+            m_coordinator.setShape(service->m_experts);
+    }
+}
+
+void RankAgentProcess::writeLines()
+{
+    m_lines.flush();
+    m_loop.callAt(Clock::now() + linesInterval, [this] { writeLines(); });
+}
+
+} // namespace
+
+int runRankAgent(const RankAgentSettings &settings, const RankAgentDialects &dialects)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    initializeLog(settings.m_logLevel, settings.m_name.text());
+    RankAgentProcess process(settings, dialects);
+    std::string error;
+    if (!process.start(error)) {
+        logError("start_failed", {{"reason", error}});
+        return 1;
+    }
+    process.run();
+    return 0;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -0,0 +1,237 @@
+#include <burdockhead/observe/wallclock.h>
+#include <burdockhead/process/processstart.h>
+#include <burdockhead/rankagent/agentcall.h>
+#include <burdockhead/rankagent/mapplanner.h>
+#include <burdockhead/rankagent/rankagentprocess.h>
+#include <burdockhead/rankagent/rankcoordinator.h>
+
+#include <algorithm>
+
+namespace burdockhead {
+
+namespace {
+
+// Between rounds: while nothing changes, while a map is being loaded, and while the group is
+// held and waits for every message.
+constexpr Milliseconds idlePause{400};
+constexpr Milliseconds changePause{100};
+constexpr Milliseconds holdPause{5};
+// How long an agent may take to answer; on one network it takes a few milliseconds.
+constexpr Milliseconds statusTimeout{150};
+constexpr Milliseconds orderTimeout{120};
+// Orders to load are given again after this; loading takes up to about a second.
+constexpr Milliseconds prepareAgainAfter{600};
+// Between plans, so that the effect of one is counted before the next.
+constexpr Milliseconds planPause{700};
+
+constexpr int statusOk = 200;
+
+} // namespace
+
+RankCoordinator::RankCoordinator(const CoordinatorParts &parts, Random seed)
+    : m_parts(parts)
+    , m_random(seed)
+{}
+
+RankCoordinator::~RankCoordinator()
+{
+    m_parts.m_loop.cancel(m_timer);
+}
+
+void RankCoordinator::setShape(const std::optional<ExpertShape> &shape)
+{
+    if (m_shape == shape)
+        return;
+    m_shape = shape;
+    m_demand.reset();
+    if (shape)
+        m_demand.emplace(shape->m_layers, shape->m_experts);
+}
+
+void RankCoordinator::setGroup(const std::optional<std::string> &group)
+{
+    if (m_group == group)
+        return;
+    m_group = group;
+    m_parts.m_lines.add(group ? "coordination_begun" : "coordination_ended",
+                        {{"group", group.value_or("")}});
+    m_parts.m_loop.cancel(m_timer);
+    m_asking.clear();
+    m_ordering.clear();
+    m_plan.reset();
+    if (group)
+        scheduleRound(Milliseconds(0));
+}
+
+void RankCoordinator::scheduleRound(Milliseconds pause)
+{
+    m_parts.m_loop.cancel(m_timer);
+    m_timer = m_parts.m_loop.callAt(Clock::now() + pause, [this] {
+        m_timer = 0;
+        startRound();
+    });
+}
+
+void RankCoordinator::startRound()
+{
+    m_ranks.clear();
+    m_rankAgents.clear();
+    m_asking.clear();
+    std::erase_if(m_ordering, [](const auto &call) { return call->isDone(); });
+    if (!m_shape || m_agents.empty()) {
+        scheduleRound(idlePause);
+        return;
+    }
+    m_unanswered = m_agents.size();
+    const TimePoint deadline = Clock::now() + statusTimeout;
+    for (const SocketAddress &agent : m_agents)
+        m_asking.push_back(std::make_unique<AgentCall>(
+            m_parts.m_loop, m_parts.m_client, agent, "GET", rankStatusTarget, "", deadline,
+            [this](AgentCall &call) { answered(call); }));
+}
+
+void RankCoordinator::answered(const AgentCall &call)
+{
+    const auto status =
+        call.status() == statusOk ? readRankStatus(call.body()) : std::optional<RankStatus>();
+    if (status && status->m_view.m_group == m_group) {
+        const std::uint32_t rank = status->m_view.m_rank;
+        if (m_demand)
+            m_demand->add(rank, status->m_view.m_startedAt, status->m_counts, Clock::now());
+        m_rankAgents[rank] = call.address();
+        m_ranks[rank] = *status;
+    }
+    if (--m_unanswered == 0)
+        // From the loop, since the calls are destroyed by the next round.
+        m_parts.m_loop.post([this] { endRound(); });
+}
+
+std::vector<RankView> RankCoordinator::views() const
+{
+    std::vector<RankView> views;
+    for (const auto &[rank, status] : m_ranks)
+        views.push_back(status.m_view);
+    return views;
+}
+
+// The map that the ranks use, put together from what each holds; none when they are in the
+// midst of a change.
+std::optional<ExpertMap> RankCoordinator::mapInUse() const
+{
+    ExpertMap map;
+    map.m_layers.assign(m_shape->m_layers, LayerPlacement(m_shape->m_experts));
+    for (const auto &[rank, status] : m_ranks) {
+        const RankExperts &held = status.m_experts;
+        if (held.m_version != status.m_view.m_map || held.m_layers.size() != m_shape->m_layers)
+            return std::nullopt;
+        map.m_version = held.m_version;
+        for (std::size_t layer = 0; layer < held.m_layers.size(); ++layer) {
+            for (const std::uint32_t expert : held.m_layers[layer]) {
+                if (expert >= m_shape->m_experts)
+                    return std::nullopt;
+                map.m_layers[layer][expert].push_back(static_cast<std::uint16_t>(rank));
+            }
+        }
+    }
+    for (const LayerPlacement &layer : map.m_layers) {
+        for (const ExpertReplicas &replicas : layer) {
+            if (replicas.empty())
+                return std::nullopt;
+        }
+    }
+    return map;
+}
+
+void RankCoordinator::endRound()
+{
+    if (!m_group || !m_shape)
+        return;
+    decide();
+}
+
+void RankCoordinator::decide()
+{
+    const auto now = views();
+    if (m_plan && !now.empty() && now.front().m_epoch != m_plan->m_epoch)
+        m_plan.reset();
+    if (!m_plan && Clock::now() >= m_nextPlanAt)
+        makePlan(now, false);
+    const auto version = m_plan ? std::optional(m_plan->m_map.m_version) : std::nullopt;
+    RolloutStep step = m_rollout.next(now, version);
+    if (step.m_needsPlan) {
+        makePlan(now, true);
+        scheduleRound(holdPause);
+        return;
+    }
+    if (step.m_isDone) {
+        m_parts.m_lines.add("map_in_use", {{"group", *m_group},
+                                           {"version", std::to_string(*version)},
+                                           {"step", std::to_string(now.front().m_step)}});
+        m_parts.m_metrics.counter("burdockhead_map_changes_total").add();
+        m_plan.reset();
+        m_nextPlanAt = Clock::now() + planPause;
+    }
+    give(step.m_orders);
+    if (step.m_isHolding)
+        scheduleRound(holdPause);
+    else
+        scheduleRound(m_plan ? changePause : idlePause);
+}
+
+// Plans a change by the demand, or, when one is needed to end a hold, one that changes nothing.
+void RankCoordinator::makePlan(const std::vector<RankView> &views, bool isForced)
+{
+    if (views.empty() || views.size() != views.front().m_ranks || !m_demand)
+        return;
+    const auto current = mapInUse();
+    if (!current || (!isForced && !m_demand->isTelling()))
+        return;
+    const MapChangeLimits limits = {{views.size(), m_shape->m_placesPerRank},
+                                    m_shape->m_newPerChange};
+    auto planned =
+        isForced ? current : planMapChange(*current, m_demand->loads(), limits);
+    if (!planned)
+        return;
+    // From the clock, so that a version is never used twice for different maps: an order to
+    // load one may be carried out after the process that gave it has started again.
+    planned->m_version = std::max(MapRollout::nextVersion(views), newIncarnation().m_value);
+    m_plan = Plan{std::move(*planned), views.front().m_epoch};
+    m_prepareAgainAt.clear();
+    m_parts.m_lines.add(
+        "map_planned",
+        {{"group", *m_group},
+         {"version", std::to_string(m_plan->m_map.m_version)},
+         {"loads", std::to_string(countLoads(*current, m_plan->m_map))},
+         {"skew", std::to_string(skewOf(*current, m_demand->loads(), views.size()))},
+         {"skew_planned", std::to_string(skewOf(m_plan->m_map, m_demand->loads(), views.size()))},
+         {"forced", isForced ? "yes" : "no"}});
+}
+
+void RankCoordinator::give(const std::vector<RankOrder> &orders)
+{
+    const TimePoint now = Clock::now();
+    for (const RankOrder &order : orders) {
+        if (order.m_type == RankOrderType::Prepare) {
+            TimePoint &again = m_prepareAgainAt[order.m_rank];
+            if (now < again)
+                continue;
+            again = now + prepareAgainAfter;
+        }
+        const auto agent = m_rankAgents.find(order.m_rank);
+        if (agent == m_rankAgents.end())
+            continue;
+        const ExpertMap *map = m_plan ? &m_plan->m_map : nullptr;
+        m_ordering.push_back(std::make_unique<AgentCall>(
+            m_parts.m_loop, m_parts.m_client, agent->second, "POST", rankOrderTarget,
+            m_parts.m_dialect.writeOrder(order, map, m_ranks.size()), now + orderTimeout,
+            [this, order](AgentCall &call) {
+                m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
+                                              {"type", toString(order.m_type)},
+                                              {"version", std::to_string(order.m_version)},
+                                              {"step", std::to_string(order.m_step)},
+                                              {"status", std::to_string(call.status())}});
+            }));
+    }
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/rankmessages.cpp
@@ -0,0 +1,101 @@
+#include <burdockhead/codec/messagereader.h>
+#include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/rankagent/rankmessages.h>
+
+namespace burdockhead {
+
+namespace {
+
+constexpr std::size_t maxNumbers = 65536;
+constexpr std::size_t maxLayers = 1024;
+
+void writeOptional(MessageWriter &writer, const std::optional<std::uint64_t> &value)
+{
+    writer.flag(value.has_value()).number(value.value_or(0));
+}
+
+std::optional<std::uint64_t> readOptional(MessageReader &reader)
+{
+    const bool isGiven = reader.flag();
+    const std::uint64_t value = reader.number();
+    return isGiven ? std::optional(value) : std::nullopt;
+}
+
+void writeView(MessageWriter &writer, const RankView &view)
+{
+    writer.text(view.m_group)
+        .number(view.m_epoch)
+        .number(view.m_rank)
+        .number(view.m_ranks)
+        .flag(view.m_isOpen)
+        .number(view.m_startedAt)
+        .number(view.m_step)
+        .number(view.m_map);
+    writeOptional(writer, view.m_prepared);
+    writer.flag(view.m_armed.has_value());
+    const ArmedMap armed = view.m_armed.value_or(ArmedMap());
+    writer.number(armed.m_version).number(armed.m_step);
+    writeOptional(writer, view.m_held);
+}
+
+RankView readView(MessageReader &reader)
+{
+    RankView view;
+    view.m_group = reader.text();
+    view.m_epoch = reader.number();
+    view.m_rank = static_cast<std::uint32_t>(reader.number());
+    view.m_ranks = static_cast<std::uint32_t>(reader.number());
+    view.m_isOpen = reader.flag();
+    view.m_startedAt = reader.number();
+    view.m_step = reader.number();
+    view.m_map = reader.number();
+    view.m_prepared = readOptional(reader);
+    const bool isArmed = reader.flag();
+    const std::uint64_t version = reader.number();
+    const std::uint64_t step = reader.number();
+    if (isArmed)
+        view.m_armed = ArmedMap{version, step};
+    view.m_held = readOptional(reader);
+    return view;
+}
+
+} // namespace
+
+std::string writeRankStatus(const RankStatus &status)
+{
+    MessageWriter writer;
+    writeView(writer, status.m_view);
+    writer.number(status.m_counts.m_epoch).number(status.m_counts.m_counts.size());
+    for (const std::uint64_t count : status.m_counts.m_counts)
+        writer.number(count);
+    writer.number(status.m_experts.m_version).number(status.m_experts.m_layers.size());
+    for (const auto &layer : status.m_experts.m_layers) {
+        writer.number(layer.size());
+        for (const std::uint32_t expert : layer)
+            writer.number(expert);
+    }
+    return writer.take();
+}
+
+std::optional<RankStatus> readRankStatus(std::string_view message)
+{
+    MessageReader reader(message);
+    RankStatus status;
+    status.m_view = readView(reader);
+    status.m_counts.m_epoch = reader.number();
+    status.m_counts.m_counts.resize(reader.listLength(maxNumbers));
+    for (std::uint64_t &count : status.m_counts.m_counts)
+        count = reader.number();
+    status.m_experts.m_version = reader.number();
+    status.m_experts.m_layers.resize(reader.listLength(maxLayers));
+    for (auto &layer : status.m_experts.m_layers) {
+        layer.resize(reader.listLength(maxNumbers));
+        for (std::uint32_t &expert : layer)
+            expert = static_cast<std::uint32_t>(reader.number());
+    }
+    if (!reader.complete())
+        return std::nullopt;
+    return status;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/rankagent/rankorder.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+
+namespace burdockhead {
+
+// What a rank can be told.
+enum class RankOrderType : std::uint8_t {
+    Prepare, // Load the experts of a map.
+    Arm,     // Use the prepared map from a step on.
+    Disarm,  // Don't.
+    Hold,    // Don't begin a step until Go.
+    Go,
+};
+
+// The order's name in logs.
+const char *toString(RankOrderType type);
+
+// One order to one rank. It holds in one epoch of the group only.
+struct RankOrder
+{
+    std::uint32_t m_rank = 0;
+    RankOrderType m_type = RankOrderType::Prepare;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_version = 0; // Of the map, for Prepare, Arm and Disarm.
+    std::uint64_t m_step = 0;    // For Arm, Hold and Go.
+
+    friend bool operator==(const RankOrder &, const RankOrder &) = default;
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/settings/keybinding.h
+++ b/src/burdockhead/settings/keybinding.h
@@ -67,6 +67,46 @@
             [member](const Target &target) { return printValue(target.*member); }};
 }
 
+// The binding of a span that is written in whole seconds.
+template <typename Target, typename Owner>
+KeyBinding<Target> bindSeconds(const std::string &key, Milliseconds Owner::*member,
+                               std::uint64_t low, std::uint64_t high, const std::string &meaning)
+{
+    const std::string allowed =
+        "a whole number from " + std::to_string(low) + " to " + std::to_string(high);
+    return {key,
+            allowed,
+            meaning,
+            false,
+            [member, low, high](const std::string &text, Target &target) {
+                const auto number = readNumber(text, low, high);
+                if (number)
+                    target.*member = Seconds(*number);
+                return number.has_value();
+            },
+            [member](const Target &target) {
+                return printValue(std::chrono::duration_cast<Seconds>(target.*member).count());
+            }};
+}
+
+// The binding of a decimal fraction from 0 to a bound.
+template <typename Target, typename Owner>
+KeyBinding<Target> bindFraction(const std::string &key, double Owner::*member, double high,
+                                const std::string &meaning)
+{
+    return {key,
+            "a number from 0 to " + printFraction(high),
+            meaning,
+            false,
+            [member, high](const std::string &text, Target &target) {
+                const auto number = readFraction(text, high);
+                if (number)
+                    target.*member = *number;
+                return number.has_value();
+            },
+            [member](const Target &target) { return printFraction(target.*member); }};
+}
+
 // The binding of a text that a predicate accepts.
 template <typename Target, typename Owner>
 KeyBinding<Target> bindText(const std::string &key, std::string Owner::*member,
--- a/src/burdockhead/settings/processsettings.h
+++ b/src/burdockhead/settings/processsettings.h
@@ -3,6 +3,7 @@
 #include <burdockhead/base/name.h>
 #include <burdockhead/base/socketaddress.h>
 #include <burdockhead/base/timepoint.h>
+#include <burdockhead/gateway/gatewaybounds.h>
 #include <burdockhead/observe/loglevel.h>
 #include <burdockhead/settings/weburl.h>
 
@@ -59,4 +60,36 @@
     friend bool operator==(const AgentSettings &, const AgentSettings &) = default;
 };
 
+// What a gateway reads from its settings file.
+struct GatewaySettings
+{
+    ProcessName m_name;
+    DataCentreName m_dataCentre;
+    LogLevel m_logLevel = LogLevel::Info;
+    SocketAddress m_clients;
+    SocketAddress m_readiness;
+    SocketAddress m_directory;
+    SocketAddress m_peers; // Datagrams of other gateways.
+    SocketAddress m_metrics;
+    SocketAddress m_store;
+    std::vector<SocketAddress> m_seeds; // Gateways to join by.
+    GatewayBounds m_bounds;
+
+    friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
+};
+
+// What the agent of a rank reads from its settings file.
+struct RankAgentSettings
+{
+    ProcessName m_name;
+    DataCentreName m_dataCentre;
+    LogLevel m_logLevel = LogLevel::Info;
+    SocketAddress m_agents;   // Other agents, and metrics.
+    SocketAddress m_endpoint; // The rank on this machine.
+    GroupName m_service;
+    SocketAddress m_store;
+
+    friend bool operator==(const RankAgentSettings &, const RankAgentSettings &) = default;
+};
+
 } // namespace burdockhead
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t maxMilliseconds = 24ULL * 60 * 60 * 1000;
+constexpr std::uint64_t maxSeconds = 24ULL * 60 * 60;
+constexpr double maxRatio = 100;
 constexpr std::uint64_t maxCount = 1000000;
 constexpr std::uint64_t maxBodyBytes = 1ULL << 30;
 
@@ -33,20 +35,26 @@
 template <typename Settings>
 using SectionBindings = std::vector<SectionBinding<Settings>>;
 
-// Wraps a binding of the limits as one of the settings that hold them.
+// Wraps a binding of a part of the settings as one of the settings that hold it.
+template <typename Settings, typename Part>
+KeyBinding<Settings> bindWithin(Part Settings::*part, const KeyBinding<Part> &inner)
+{
+    return {inner.m_key,
+            inner.m_allowed,
+            inner.m_meaning,
+            inner.m_required,
+            [part, inner](const std::string &text, Settings &settings) {
+                return inner.m_read(text, settings.*part);
+            },
+            [part, inner](const Settings &settings) { return inner.m_print(settings.*part); }};
+}
+
 template <typename Settings, typename Number>
 KeyBinding<Settings> bindLimit(const std::string &key, Number ProcessLimits::*member,
                                std::uint64_t low, std::uint64_t high, const std::string &meaning)
 {
-    const auto inner = bindNumber<ProcessLimits>(key, member, low, high, meaning);
-    return {key,
-            inner.m_allowed,
-            meaning,
-            false,
-            [inner](const std::string &text, Settings &settings) {
-                return inner.m_read(text, settings.m_limits);
-            },
-            [inner](const Settings &settings) { return inner.m_print(settings.m_limits); }};
+    return bindWithin<Settings, ProcessLimits>(
+        &Settings::m_limits, bindNumber<ProcessLimits>(key, member, low, high, meaning));
 }
 
 template <typename Settings>
@@ -165,6 +173,90 @@
     return bindings;
 }
 
+SectionBinding<GatewaySettings> gatewayListenSection()
+{
+    using S = GatewaySettings;
+    return {"listen",
+            true,
+            {bindKey<S>("clients", &S::m_clients, allowedAddress, "Requests from clients")
+                 .required(),
+             bindKey<S>("readiness", &S::m_readiness, allowedAddress,
+                        "Tells whether the gateway takes requests")
+                 .required(),
+             bindKey<S>("directory", &S::m_directory, allowedAddress,
+                        "Tells clients which gateways to use")
+                 .required(),
+             bindKey<S>("peers", &S::m_peers, allowedAddress, "Datagrams of other gateways")
+                 .required(),
+             bindKey<S>("metrics", &S::m_metrics, allowedAddress, "Metrics in Prometheus's text")
+                 .required()}};
+}
+
+SectionBinding<GatewaySettings> boundsSection()
+{
+    using S = GatewaySettings;
+    using B = GatewayBounds;
+    const auto bound = [](const KeyBinding<B> &inner) {
+        return bindWithin<S, B>(&S::m_bounds, inner);
+    };
+    return {"bounds",
+            false,
+            {bound(bindFraction<B>("retry_ratio", &B::m_retryRatio, maxRatio,
+                                   "Further attempts for each request of a service")),
+             bound(bindNumber<B>("retry_burst", &B::m_retryBurst, 0, maxCount,
+                                 "Further attempts in a window that the fleet always may make")),
+             bound(bindSeconds<B>("retry_window_s", &B::m_retryWindow, 1, maxSeconds,
+                                  "The span in which further attempts are counted")),
+             bound(bindFraction<B>("cold_burst", &B::m_coldBurst, maxRatio,
+                                   "Times the declared rate that a cold endpoint may get")),
+             bound(bindNumber<B>("leave_ms", &B::m_leaveTime, 0, maxMilliseconds,
+                                 "An endpoint whose entry is gone gets nothing after this")),
+             bound(bindSeconds<B>("stop_grace_s", &B::m_stopGrace, 1, maxSeconds,
+                                  "How long a stop may take"))}};
+}
+
+template <typename Settings>
+SectionBinding<Settings> storeSection()
+{
+    return {"store",
+            true,
+            {bindKey<Settings>("address", &Settings::m_store, allowedAddress,
+                               "The platform's store")
+                 .required()}};
+}
+
+const SectionBindings<RankAgentSettings> &sectionBindings(const RankAgentSettings *)
+{
+    using S = RankAgentSettings;
+    static const SectionBindings<S> bindings = {
+        processSection<S>(),
+        {"listen",
+         true,
+         {bindKey<S>("agents", &S::m_agents, allowedAddress, "Other agents, and metrics")
+              .required()}},
+        {"endpoint",
+         true,
+         {bindKey<S>("address", &S::m_endpoint, allowedAddress, "The rank on this VM").required(),
+          bindKey<S>("service", &S::m_service, allowedName, "The service that it belongs to")
+              .required()}},
+        storeSection<S>()};
+    return bindings;
+}
+
+const SectionBindings<GatewaySettings> &sectionBindings(const GatewaySettings *)
+{
+    using S = GatewaySettings;
+    static const SectionBindings<S> bindings = {
+        processSection<S>(),
+        gatewayListenSection(),
+        storeSection<S>(),
+        {"seeds",
+         false,
+         {bindKey<S>("peers", &S::m_seeds, allowedAddressList, "Gateways to join by")}},
+        boundsSection()};
+    return bindings;
+}
+
 template <typename Settings>
 std::string sectionTypes(const SectionBindings<Settings> &bindings)
 {
@@ -246,6 +338,24 @@
     return parseSettings<AgentSettings>(text, fileName, diagnostics);
 }
 
+std::optional<GatewaySettings>
+parseGatewaySettings(const std::string &text, const std::string &fileName, Diagnostics &diagnostics)
+{
+    return parseSettings<GatewaySettings>(text, fileName, diagnostics);
+}
+
+std::optional<RankAgentSettings> parseRankAgentSettings(const std::string &text,
+                                                        const std::string &fileName,
+                                                        Diagnostics &diagnostics)
+{
+    return parseSettings<RankAgentSettings>(text, fileName, diagnostics);
+}
+
+std::string printSettings(const RankAgentSettings &settings)
+{
+    return printSections(settings);
+}
+
 std::string printSettings(const EntrySettings &settings)
 {
     return printSections(settings);
@@ -256,6 +366,11 @@
     return printSections(settings);
 }
 
+std::string printSettings(const GatewaySettings &settings)
+{
+    return printSections(settings);
+}
+
 std::vector<KeyDescription> entrySettingsKeys()
 {
     return describeSections<EntrySettings>();
@@ -266,4 +381,14 @@
     return describeSections<AgentSettings>();
 }
 
+std::vector<KeyDescription> rankAgentSettingsKeys()
+{
+    return describeSections<RankAgentSettings>();
+}
+
+std::vector<KeyDescription> gatewaySettingsKeys()
+{
+    return describeSections<GatewaySettings>();
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/settings/valuetext.cpp
+++ b/src/burdockhead/settings/valuetext.cpp
@@ -149,4 +149,22 @@
     return std::to_string(value.count());
 }
 
+std::optional<double> readFraction(const std::string &text, double high)
+{
+    double value = 0;
+    const char *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+    if (result.ec != std::errc() || result.ptr != end || value < 0 || value > high)
+        return std::nullopt;
+    return value;
+}
+
+std::string printFraction(double value)
+{
+    std::array<char, 32> text{};
+    const auto result = std::to_chars(text.data(), text.data() + text.size(), value,
+                                      std::chars_format::fixed);
+    return {text.data(), result.ptr};
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/settings/valuetext.h
+++ b/src/burdockhead/settings/valuetext.h
@@ -33,6 +33,10 @@
 std::optional<std::uint64_t> readNumber(const std::string &text, std::uint64_t low,
                                         std::uint64_t high);
 
+// A decimal number such as "0.25" from 0 to a bound; none on any other text.
+std::optional<double> readFraction(const std::string &text, double high);
+std::string printFraction(double value);
+
 // Read functions return false on a bad value; print functions give text that reads back.
 bool readValue(const std::string &text, SocketAddress &value);
 bool readValue(const std::string &text, std::vector<SocketAddress> &value);
