--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -126,7 +126,6 @@
         }
         place -= service.m_weight;
     }
-    m_waiter.m_onTimeUntil = m_arrivedAt + m_route.m_objective;
     m_giveUpAt = m_arrivedAt
         + std::min(m_route.m_timeout, m_facts.m_timeLeft.value_or(m_route.m_timeout));
     return true;
@@ -157,6 +156,8 @@
 void CallFlow::waitInLine()
 {
     m_isWaiting = true;
+    m_waiter.m_onTimeUntil =
+        m_arrivedAt + m_route.m_objective - m_router.gate(m_service).usualFirstByte();
     m_router.wait(m_service, m_waiter);
 }
 
@@ -175,6 +176,7 @@
     m_endpoint = std::move(endpoint);
     m_lastEndpoint = m_endpoint->m_entry.m_name;
     m_sentAt = now;
+    m_lastEventAt = {};
     m_answerHead.reset();
     m_answerFacts = {};
     m_answerBody.clear();
@@ -263,10 +265,22 @@
     }
 }
 
+void CallFlow::noteEventTimes()
+{
+    const TimePoint now = Clock::now();
+    ServiceGate &gate = m_router.gate(m_service);
+    if (m_lastEventAt == TimePoint())
+        gate.noteFirstByte(now - m_sentAt);
+    else
+        gate.noteEventPause(now - m_lastEventAt, m_route.m_longestPause, now);
+    m_lastEventAt = now;
+}
+
 void CallFlow::forwardEvents(std::string_view bytes)
 {
     const std::string whole = m_events.take(bytes);
     if (!whole.empty()) {
+        noteEventTimes();
         if (!m_exchange->hasStarted())
             m_exchange->startAnswer(m_streamHead->m_status, clientHeaders(*m_streamHead));
         m_exchange->sendPart(whole);
--- a/src/burdockhead/gateway/callflow.h
+++ b/src/burdockhead/gateway/callflow.h
@@ -53,6 +53,7 @@
     bool tryAgain(const char *reason);
 
     void forwardWhole();
+    void noteEventTimes();
     void forwardEvents(std::string_view bytes);
     HttpHeaders clientHeaders(const HttpHead &answer) const;
 
@@ -79,6 +80,7 @@
     KnownEndpointPointer m_endpoint; // Set while the request is at it.
     EndpointName m_lastEndpoint;
     TimePoint m_sentAt;
+    TimePoint m_lastEventAt; // When events last came in the present attempt; zero before.
     std::vector<EndpointName> m_tried;
     unsigned m_attempts = 0;       // Requests that may have reached an endpoint.
     unsigned m_failedConnects = 0;
--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
-// Requests at the endpoints for each of their slots, over the whole fleet. Above 1, since no
+// Requests at a plain service for each of its slots, over the whole fleet. Above 1, since no
 // gateway knows exactly what the others have sent; endpoints queue the few beyond.
 constexpr double requestsForSlot = 1.25;
+// The same for engines, whose steps grow longer with each request: nearly the throughput of
+// full batches, at two thirds of their time for a step.
+constexpr double requestsForEngineSlot = 0.75;
+// The same while steps are slow, so that they become shorter again.
+constexpr double requestsForSlowSlot = 0.4;
 // A gateway's smallest window, so that a few endpoints shared by many gateways are reached.
 constexpr std::size_t smallestWindow = 3;
 // When the next look is taken for a request that no endpoint would take.
@@ -60,8 +65,15 @@
     const TimePoint now = Clock::now();
     const auto gateways = std::max<std::size_t>(m_parts.m_peers.readyClients(now).size(), 1);
     const double slots = m_parts.m_endpoints.slots(service, now);
-    const double share = std::ceil(slots * requestsForSlot / static_cast<double>(gateways));
-    gate.setWindow(std::max(smallestWindow, static_cast<std::size_t>(share)));
+    const GatewayService *declared =
+        m_configuration ? m_configuration->findService(service) : nullptr;
+    const bool isEngine = declared != nullptr && declared->m_batch > 0;
+    const auto share = [&](double forSlot) {
+        const double size = std::ceil(slots * forSlot / static_cast<double>(gateways));
+        return std::max(smallestWindow, static_cast<std::size_t>(size));
+    };
+    const std::size_t window = share(isEngine ? requestsForEngineSlot : requestsForSlot);
+    gate.setWindow(window, isEngine ? share(requestsForSlowSlot) : window);
 }
 
 std::size_t CallRouter::arrivalLimit(const GroupName &service) const
--- a/src/burdockhead/gateway/servicegate.cpp
+++ b/src/burdockhead/gateway/servicegate.cpp
@@ -12,8 +12,21 @@
 constexpr Milliseconds refusalPause{300};
 // While refusals go on, so many requests try at a time.
 constexpr std::size_t trialsAtATime = 1;
-// How much one request moves the usual time: the last ten or so count.
+// How much one request moves the usual times: the last ten or so count.
 constexpr int weightOfOne = 10;
+// How much one event moves the mean pause. A gateway sees some ten streams, so the last two
+// steps or so of the ranks count.
+constexpr double weightOfOneEvent = 0.06;
+// The part of the longest pause from which on steps count as slow. More requests would make
+// them slower still, and every stream late.
+constexpr double slowPause = 0.8;
+// Pauses that are older than this say nothing.
+constexpr Milliseconds pauseHolds{500};
+
+void follow(Duration &usual, Duration last)
+{
+    usual = usual.count() == 0 ? last : usual + (last - usual) / weightOfOne;
+}
 
 } // namespace
 
@@ -21,7 +34,22 @@
 {
     if (m_refusedInRow >= refusalsBeforePause)
         return now >= m_pausedUntil && m_running < std::min(m_window, trialsAtATime);
-    return m_running < m_window;
+    const bool isSlow = m_eventPause > slowPause && now < m_eventPauseAt + pauseHolds;
+    return m_running < (isSlow ? m_slowWindow : m_window);
+}
+
+void ServiceGate::noteEventPause(Duration pause, Duration longest, TimePoint now)
+{
+    if (longest.count() <= 0)
+        return;
+    const double part = std::chrono::duration<double>(pause) / std::chrono::duration<double>(longest);
+    m_eventPause += (part - m_eventPause) * weightOfOneEvent;
+    m_eventPauseAt = now;
+}
+
+void ServiceGate::noteFirstByte(Duration took)
+{
+    follow(m_usualFirstByte, took);
 }
 
 void ServiceGate::noteEnded(Duration took, bool isServed)
@@ -31,7 +59,7 @@
     if (!isServed)
         return;
     m_refusedInRow = 0;
-    m_usualTime = m_usualTime.count() == 0 ? took : m_usualTime + (took - m_usualTime) / weightOfOne;
+    follow(m_usualTime, took);
 }
 
 void ServiceGate::noteRefused(TimePoint now)
--- a/src/burdockhead/gateway/servicegate.h
+++ b/src/burdockhead/gateway/servicegate.h
@@ -7,7 +7,8 @@
 
 // How many requests of one service a gateway has at its endpoints at a time, who waits, and
 // how many further attempts it makes. Answers the load patterns of a burst over capacity
-// (the window) and of a group of ranks that has stalled and refuses everything (the pause).
+// (the window), of ranks in lock-step whose steps have become slow for all streams (the slow
+// window) and of a group that has stalled and refuses everything (the pause).
 class ServiceGate
 {
 public:
@@ -15,10 +16,19 @@
         : m_retries(options)
     {}
 
-    // Requests that may be at the endpoints at a time.
-    void setWindow(std::size_t window) { m_window = window; }
+    // Requests that may be at the endpoints at a time, and those that may be while events come
+    // too slowly.
+    void setWindow(std::size_t window, std::size_t slowWindow)
+    {
+        m_window = window;
+        m_slowWindow = slowWindow;
+    }
     std::size_t window() const { return m_window; }
 
+    // A stream's next event came after that time; `longest` is the longest pause that is still
+    // in time.
+    void noteEventPause(Duration pause, Duration longest, TimePoint now);
+
     // Whether a request may be sent now.
     bool mayStart(TimePoint now) const;
 
@@ -36,6 +46,10 @@
     // How long a request that came now would wait for its turn, from the last requests' times.
     Duration expectedWait(std::size_t ahead) const;
 
+    // The time from sending a request until the first byte of its answer came.
+    void noteFirstByte(Duration took);
+    Duration usualFirstByte() const { return m_usualFirstByte; }
+
     // How long a request usually is at its endpoint.
     Duration usualTime() const { return m_usualTime; }
 
@@ -46,10 +60,14 @@
 
 private:
     std::size_t m_window = 1;
+    std::size_t m_slowWindow = 1;
     std::size_t m_running = 0;
+    double m_eventPause = 0; // Late events' mean pause, as a part of the longest.
+    TimePoint m_eventPauseAt;
     unsigned m_refusedInRow = 0;
     TimePoint m_pausedUntil = TimePoint::min();
     Duration m_usualTime{0};
+    Duration m_usualFirstByte{0};
     WaitingLine m_line;
     RetryAllowance m_retries;
 };
--- a/src/burdockhead/rankagent/expertdemand.h
+++ b/src/burdockhead/rankagent/expertdemand.h
@@ -1,26 +1,31 @@
 #pragma once
 
-#include <burdockhead/expertmap/expertpopularity.h>
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/expertmap/grouploads.h>
 #include <burdockhead/rankagent/enginedialect.h>
 
 #include <map>
+#include <vector>
 
 namespace burdockhead {
 
-// How much the experts of a group are in demand lately, from what its ranks have counted since
-// they started.
+// How much the experts of a group are in demand, from what its ranks have counted since they
+// started. Answers the load pattern of a demand that is steady for some seconds and then
+// shifts at once: what was counted before a shift is forgotten when the shift shows.
 class ExpertDemand
 {
 public:
     ExpertDemand(std::size_t layers, std::size_t experts);
 
     // Takes the counts of a rank; a rank that has started again counts anew.
-    void add(std::uint32_t rank, std::uint64_t startedAt, const ExpertCounts &counts,
-             TimePoint now);
+    void add(std::uint32_t rank, std::uint64_t startedAt, const ExpertCounts &counts);
 
-    const GroupLoads &loads() const { return m_popularity.loads(); }
+    // Ends a round of counts. True when they show that the demand has shifted.
+    bool endRound();
 
-    // Whether enough has been counted to plan by.
+    const GroupLoads &loads() const { return m_loads; }
+
+    // Whether enough has been counted since the last shift to plan by.
     bool isTelling() const;
 
 private:
@@ -30,9 +35,12 @@
         std::vector<std::uint64_t> m_counts;
     };
 
+    GroupLoads emptyLoads() const;
+
     std::size_t m_layers;
     std::size_t m_experts;
-    ExpertPopularity m_popularity;
+    GroupLoads m_loads;  // Since the last shift, earlier rounds for less.
+    GroupLoads m_recent; // Not yet taken into the others.
     std::map<std::uint32_t, Seen> m_seen;
 };
 
--- a/src/burdockhead/rankagent/mapplanner.h
+++ b/src/burdockhead/rankagent/mapplanner.h
@@ -11,8 +11,10 @@
 struct MapChangeLimits
 {
     GroupShape m_shape;
-    std::size_t m_newPerRank = 0; // Experts of a layer that one rank may load in a change.
-    double m_leastGain = 0.05;    // Skew that a change must take off to be made.
+    std::size_t m_newPerRank = 0;      // Experts of a layer that one rank may load in a change.
+    std::size_t m_newPerRankInAll = 3; // Of all layers; the rank that loads most sets the time.
+    double m_tolerance = 0.1;          // A layer this close to its mean is left alone.
+    double m_leastGain = 0.1;          // Skew that a change must take off to be made.
 
     friend bool operator==(const MapChangeLimits &, const MapChangeLimits &) = default;
 };
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -11,10 +11,12 @@
 
 namespace {
 
-// Between rounds: while nothing changes, while a map is being loaded, and while the group is
-// held and waits for every message.
+// Between rounds: while the group makes no steps, while it does, while a map is being loaded,
+// and while the group is held and waits for every message. A shift of the demand shows within
+// one or two rounds.
 constexpr Milliseconds idlePause{400};
-constexpr Milliseconds changePause{100};
+constexpr Milliseconds busyPause{100};
+constexpr Milliseconds changePause{40};
 constexpr Milliseconds holdPause{5};
 // How long an agent may take to answer; on one network it takes a few milliseconds.
 constexpr Milliseconds statusTimeout{150};
@@ -97,7 +99,7 @@
     if (status && status->m_view.m_group == m_group) {
         const std::uint32_t rank = status->m_view.m_rank;
         if (m_demand)
-            m_demand->add(rank, status->m_view.m_startedAt, status->m_counts, Clock::now());
+            m_demand->add(rank, status->m_view.m_startedAt, status->m_counts);
         m_rankAgents[rank] = call.address();
         m_ranks[rank] = *status;
     }
@@ -144,11 +146,24 @@
 
 void RankCoordinator::endRound()
 {
-    if (!m_group || !m_shape)
+    if (!m_group || !m_shape || !m_demand)
         return;
+    if (m_demand->endRound()) {
+        m_parts.m_lines.add("demand_shifted", {{"group", *m_group}});
+        m_nextPlanAt = {};
+    }
     decide();
 }
 
+// Whether the group has begun a step since the last round.
+bool RankCoordinator::isMakingSteps(const std::vector<RankView> &views)
+{
+    const std::uint64_t step = views.empty() ? 0 : views.front().m_step;
+    const bool isMaking = step != m_lastStep;
+    m_lastStep = step;
+    return isMaking;
+}
+
 void RankCoordinator::decide()
 {
     const auto now = views();
@@ -174,8 +189,10 @@
     give(step.m_orders);
     if (step.m_isHolding)
         scheduleRound(holdPause);
+    else if (m_plan)
+        scheduleRound(changePause);
     else
-        scheduleRound(m_plan ? changePause : idlePause);
+        scheduleRound(isMakingSteps(now) ? busyPause : idlePause);
 }
 
 // Plans a change by the demand, or, when one is needed to end a hold, one that changes nothing.
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -59,6 +59,7 @@
     void endRound();
     std::vector<RankView> views() const;
     std::optional<ExpertMap> mapInUse() const;
+    bool isMakingSteps(const std::vector<RankView> &views);
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
@@ -79,6 +80,7 @@
     std::size_t m_unanswered = 0;
     TimerId m_timer = 0;
     TimePoint m_nextPlanAt;
+    std::uint64_t m_lastStep = 0;
 };
 
 } // namespace burdockhead
