--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -168,6 +168,9 @@
 {
     m_call.reset();
     m_parts.m_loop.cancel(m_timer);
+    // A store that has lost its history may leave a watch from before it waiting in vain.
+    m_isWatching = false;
+    m_listedUpTo.clear();
     if (m_failures++ == 0) {
         m_lostAt = Clock::now();
         m_parts.m_lines.add("store_lost", {{"collection", name()},
