--- a/src/burdockhead/gateway/gatewayconfiguration.h
+++ b/src/burdockhead/gateway/gatewayconfiguration.h
@@ -20,6 +20,7 @@
     std::uint32_t m_experts = 0;        // Of each layer.
     std::uint32_t m_placesPerRank = 0;  // Experts of a layer that a rank can hold.
     std::uint32_t m_newPerChange = 0;   // Experts of a layer that a rank can load for a change.
+    double m_loadMilliseconds = 0;      // For a rank to load one expert.
 
     friend bool operator==(const ExpertShape &, const ExpertShape &) = default;
 };
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Peers that each beat goes to; news reaches fifty gateways within four beats.
-constexpr std::size_t fanout = 3;
-// Records in a message, so that it fits one datagram.
-constexpr std::size_t recordsInMessage = 14;
+// Peers that each beat goes to, and records in a message: with both, a record of one of fifty
+// gateways comes by twice a beat, in datagrams of about 1,500 bytes.
+constexpr std::size_t fanout = 4;
+constexpr std::size_t recordsInMessage = 24;
 // A beat that stands still for as long means that the gateway is dead: six beats, in which a
 // lost datagram or two don't count.
 constexpr Milliseconds deadAfter{2500};
--- a/src/burdockhead/net/eventloop.cpp
+++ b/src/burdockhead/net/eventloop.cpp
@@ -94,6 +94,11 @@
     m_d->m_context.stop();
 }
 
+void EventLoop::restart()
+{
+    m_d->m_context.restart();
+}
+
 TimerId EventLoop::callAt(TimePoint deadline, std::function<void()> action)
 {
     const TimerId timer = ++m_d->m_lastTimer;
--- a/src/burdockhead/net/eventloop.h
+++ b/src/burdockhead/net/eventloop.h
@@ -25,9 +25,10 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    // Runs until stop().
+    // Runs until stop(); after restart() it can run again.
     void run();
     void stop();
+    void restart();
 
     // Calls the action at the deadline.
     TimerId callAt(TimePoint deadline, std::function<void()> action);
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -22,9 +22,11 @@
     , m_parser(HttpMessageType::Request, *this)
 {}
 
+// A closed connection may outlive its listener within the loop, so nothing shared is touched.
 HttpServerConnection::~HttpServerConnection()
 {
-    m_shared.m_loop.cancel(m_timer);
+    if (m_timer != 0)
+        m_shared.m_loop.cancel(m_timer);
 }
 
 void HttpServerConnection::start()
--- a/src/burdockhead/observe/metricdescription.cpp
+++ b/src/burdockhead/observe/metricdescription.cpp
@@ -59,6 +59,21 @@
          "Calls to the platform's object API; a waiting watch counts as one."},
         {"process_cpu_seconds_total", "counter", "", "Processor time of the process."},
         {"process_resident_memory_bytes", "gauge", "", "Resident memory of the process."},
+        {"burdockhead_gateway_requests_total", "counter", "outcome",
+         "Requests of a gateway that ended, by \"served\", \"refused\", \"cancelled\", "
+         "\"endpoint_failed\" or the name of the error kind."},
+        {"burdockhead_gateway_request_duration_seconds", "summary", "",
+         "Time from a request's arrival at the gateway to its end."},
+        {"burdockhead_gateway_open_requests", "gauge", "",
+         "Requests at the gateway that have not ended."},
+        {"burdockhead_gateway_endpoint_connections", "gauge", "",
+         "Connections that the gateway has made to endpoints since its start."},
+        {"burdockhead_gateway_store_calls_total", "counter", "call, collection",
+         "Calls to the platform's store, by \"list\" or \"watch\" and by collection."},
+        {"burdockhead_gateway_lines_dropped", "gauge", "",
+         "Log lines that were left out since the start, over their budget or for want of a reader."},
+        {"burdockhead_map_changes_total", "counter", "",
+         "Expert maps that the agent beside rank 0 has brought into use."},
     };
     return descriptions;
 }
--- a/src/burdockhead/operators/checkcommand.cpp
+++ b/src/burdockhead/operators/checkcommand.cpp
@@ -28,6 +28,14 @@
         parseConfiguration(text, fileName, diagnostics);
         return "configuration";
     }
+    if (hasSection(document, "store") && hasSection(document, "endpoint")) {
+        parseRankAgentSettings(text, fileName, diagnostics);
+        return "settings of a rank's agent";
+    }
+    if (hasSection(document, "store")) {
+        parseGatewaySettings(text, fileName, diagnostics);
+        return "settings of a gateway";
+    }
     if (hasSection(document, "endpoint")) {
         parseAgentSettings(text, fileName, diagnostics);
         return "settings of an agent";
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -39,7 +39,7 @@
 
     StoreFollowerParts followerParts();
     void handle(const std::shared_ptr<HttpExchange> &exchange);
-    void answerStatus(const std::shared_ptr<HttpExchange> &exchange);
+    void answerStatus(const std::shared_ptr<HttpExchange> &exchange, bool hasCounts);
     void passOrder(const std::shared_ptr<HttpExchange> &exchange);
     void askEngine(const std::string &method, const std::string &target, const std::string &body,
                    Answered answered);
@@ -171,7 +171,9 @@
 {
     const std::string &target = exchange->head().m_target;
     if (target == rankStatusTarget)
-        answerStatus(exchange);
+        answerStatus(exchange, false);
+    else if (target == rankCountsTarget)
+        readCounts([this, exchange] { answerStatus(exchange, true); });
     else if (target == rankOrderTarget)
         passOrder(exchange);
     else if (target == "/metrics")
@@ -182,16 +184,16 @@
 }
 
 // The view is read last, so that it is the newest part of the answer.
-void RankAgentProcess::answerStatus(const std::shared_ptr<HttpExchange> &exchange)
+void RankAgentProcess::answerStatus(const std::shared_ptr<HttpExchange> &exchange, bool hasCounts)
 {
-    readCounts([this, exchange] {
-        readExperts([this, exchange] {
-            readView([this, exchange] {
-                if (m_view)
-                    exchange->answer(statusOk, {}, writeRankStatus({*m_view, m_counts, m_experts}));
-                else
-                    exchange->answer(statusUnavailable, {}, "");
-            });
+    readExperts([this, exchange, hasCounts] {
+        readView([this, exchange, hasCounts] {
+            if (!m_view) {
+                exchange->answer(statusUnavailable, {}, "");
+                return;
+            }
+            const ExpertCounts counts = hasCounts ? m_counts : ExpertCounts();
+            exchange->answer(statusOk, {}, writeRankStatus({*m_view, counts, m_experts}));
         });
     });
 }
--- a/src/burdockhead/rankagent/rankagentprocess.h
+++ b/src/burdockhead/rankagent/rankagentprocess.h
@@ -8,6 +8,7 @@
 
 // What agents ask of one another.
 constexpr const char *rankStatusTarget = "/rank";
+constexpr const char *rankCountsTarget = "/rank/counts"; // The status with the counts.
 constexpr const char *rankOrderTarget = "/rank/order";
 
 // What a rank's agent speaks with its engine and the platform's store.
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -18,8 +18,19 @@
 constexpr Milliseconds busyPause{100};
 constexpr Milliseconds changePause{40};
 constexpr Milliseconds holdPause{5};
+// Added to each pause for a rank that is asked, so that large groups don't fill the link of the
+// coordinator's VM.
+constexpr double pauseForRankMilliseconds = 1;
+// Ranks whose counts are read; all ranks serve a like mix of requests.
+constexpr std::size_t countedRanks = 6;
+// All ranks are asked at least as often, which shows a hold that was left behind.
+constexpr Milliseconds fullRoundInterval{700};
+// The time in which a change should be loaded, against some seconds between two shifts, and
+// the fewest experts that a rank may load for it.
+constexpr double loadBudgetMilliseconds = 350;
+constexpr std::size_t leastLoads = 3;
 // How long an agent may take to answer; on one network it takes a few milliseconds.
-constexpr Milliseconds statusTimeout{150};
+constexpr Milliseconds statusTimeout{200};
 constexpr Milliseconds orderTimeout{120};
 // Orders to load are given again after this; loading takes up to about a second.
 constexpr Milliseconds prepareAgainAfter{600};
@@ -61,6 +72,8 @@
     m_asking.clear();
     m_ordering.clear();
     m_plan.reset();
+    m_ranks.clear();
+    m_rankAgents.clear();
     if (group)
         scheduleRound(Milliseconds(0));
 }
@@ -76,20 +89,41 @@
 
 void RankCoordinator::startRound()
 {
-    m_ranks.clear();
-    m_rankAgents.clear();
     m_asking.clear();
     std::erase_if(m_ordering, [](const auto &call) { return call->isDone(); });
     if (!m_shape || m_agents.empty()) {
         scheduleRound(idlePause);
         return;
     }
-    m_unanswered = m_agents.size();
-    const TimePoint deadline = Clock::now() + statusTimeout;
-    for (const SocketAddress &agent : m_agents)
+    const TimePoint now = Clock::now();
+    m_isFullRound = m_plan || m_rankAgents.empty() || now >= m_nextFullRoundAt;
+    const std::vector<SocketAddress> counted = countedAgents();
+    if (m_isFullRound) {
+        m_nextFullRoundAt = now + fullRoundInterval;
+        m_ranks.clear();
+        m_rankAgents.clear();
+    }
+    const std::vector<SocketAddress> &asked = m_isFullRound ? m_agents : counted;
+    m_unanswered = asked.size();
+    for (const SocketAddress &agent : asked) {
+        const bool isCounted =
+            std::find(counted.begin(), counted.end(), agent) != counted.end();
         m_asking.push_back(std::make_unique<AgentCall>(
-            m_parts.m_loop, m_parts.m_client, agent, "GET", rankStatusTarget, "", deadline,
+            m_parts.m_loop, m_parts.m_client, agent, "GET",
+            isCounted ? rankCountsTarget : rankStatusTarget, "", now + statusTimeout,
             [this](AgentCall &call) { answered(call); }));
+    }
+}
+
+// The agents of the first few ranks that answered in the last full round.
+std::vector<SocketAddress> RankCoordinator::countedAgents() const
+{
+    std::vector<SocketAddress> agents;
+    for (const auto &[rank, agent] : m_rankAgents) {
+        if (agents.size() < countedRanks)
+            agents.push_back(agent);
+    }
+    return agents;
 }
 
 void RankCoordinator::answered(const AgentCall &call)
@@ -100,8 +134,12 @@
         const std::uint32_t rank = status->m_view.m_rank;
         if (m_demand)
             m_demand->add(rank, status->m_view.m_startedAt, status->m_counts);
-        m_rankAgents[rank] = call.address();
-        m_ranks[rank] = *status;
+        if (m_isFullRound) {
+            m_rankAgents[rank] = call.address();
+            m_ranks[rank] = *status;
+        } else if (rank == 0) {
+            m_ranks[rank].m_view.m_step = status->m_view.m_step;
+        }
     }
     if (--m_unanswered == 0)
         // From the loop, since the calls are destroyed by the next round.
@@ -151,14 +189,20 @@
     if (m_demand->endRound()) {
         m_parts.m_lines.add("demand_shifted", {{"group", *m_group}});
         m_nextPlanAt = {};
+        m_nextFullRoundAt = {};
     }
-    decide();
+    if (m_isFullRound)
+        decide();
+    else
+        scheduleRound(m_nextFullRoundAt <= Clock::now() ? Milliseconds(0)
+                      : isMakingSteps()                 ? busyPause
+                                                        : idlePause);
 }
 
 // Whether the group has begun a step since the last round.
-bool RankCoordinator::isMakingSteps(const std::vector<RankView> &views)
+bool RankCoordinator::isMakingSteps()
 {
-    const std::uint64_t step = views.empty() ? 0 : views.front().m_step;
+    const std::uint64_t step = m_ranks.empty() ? 0 : m_ranks.begin()->second.m_view.m_step;
     const bool isMaking = step != m_lastStep;
     m_lastStep = step;
     return isMaking;
@@ -190,9 +234,11 @@
     if (step.m_isHolding)
         scheduleRound(holdPause);
     else if (m_plan)
-        scheduleRound(changePause);
+        scheduleRound(changePause
+                      + Milliseconds(static_cast<int>(pauseForRankMilliseconds
+                                                      * static_cast<double>(m_agents.size()))));
     else
-        scheduleRound(isMakingSteps(now) ? busyPause : idlePause);
+        scheduleRound(isMakingSteps() ? busyPause : idlePause);
 }
 
 // Plans a change by the demand, or, when one is needed to end a hold, one that changes nothing.
@@ -203,8 +249,9 @@
     const auto current = mapInUse();
     if (!current || (!isForced && !m_demand->isTelling()))
         return;
-    const MapChangeLimits limits = {{views.size(), m_shape->m_placesPerRank},
-                                    m_shape->m_newPerChange};
+    MapChangeLimits limits = {{views.size(), m_shape->m_placesPerRank}, m_shape->m_newPerChange};
+    const double loads = loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
+    limits.m_newPerRankInAll = std::max(leastLoads, static_cast<std::size_t>(loads));
     auto planned =
         isForced ? current : planMapChange(*current, m_demand->loads(), limits);
     if (!planned)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -59,7 +59,8 @@
     void endRound();
     std::vector<RankView> views() const;
     std::optional<ExpertMap> mapInUse() const;
-    bool isMakingSteps(const std::vector<RankView> &views);
+    std::vector<SocketAddress> countedAgents() const;
+    bool isMakingSteps();
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
@@ -72,8 +73,10 @@
     std::optional<ExpertDemand> m_demand;
     MapRollout m_rollout;
     std::optional<Plan> m_plan;
-    std::map<std::uint32_t, RankStatus> m_ranks;          // Of this round.
-    std::map<std::uint32_t, SocketAddress> m_rankAgents;  // Of this round.
+    std::map<std::uint32_t, RankStatus> m_ranks;         // Of the last full round.
+    std::map<std::uint32_t, SocketAddress> m_rankAgents; // Of the last full round.
+    bool m_isFullRound = true; // All ranks are asked, not only those whose counts are read.
+    TimePoint m_nextFullRoundAt;
     std::vector<std::unique_ptr<AgentCall>> m_asking;
     std::vector<std::unique_ptr<AgentCall>> m_ordering;
     std::map<std::uint32_t, TimePoint> m_prepareAgainAt;
--- a/src/burdockhead/rankagent/rankmessages.h
+++ b/src/burdockhead/rankagent/rankmessages.h
@@ -8,7 +8,8 @@
 
 namespace burdockhead {
 
-// What an agent tells the coordinator about its rank. The counts are the latest it read.
+// What an agent tells the coordinator about its rank. The counts are empty unless they were
+// asked for.
 struct RankStatus
 {
     RankView m_view;
--- /dev/null
+++ b/tests/internal/gateway/test_servicegate.cpp
@@ -0,0 +1,142 @@
+#include <burdockhead/gateway/servicegate.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace burdockhead;
+
+namespace {
+
+const TimePoint start{Seconds(100)};
+const RetryAllowanceOptions retries;
+constexpr Milliseconds longestPause{120};
+
+// Streams of a group in lock-step: each step takes longer with each stream, and three times as
+// long for its experts while their demand has shifted. Counts streams whose every pause is
+// within the longest, as one gateway with all of the streams lets them in.
+class LockStepReplay
+{
+public:
+    explicit LockStepReplay(bool hasSlowWindow)
+        : m_hasSlowWindow(hasSlowWindow)
+    {
+        m_gate.setWindow(window, hasSlowWindow ? slowWindow : window);
+    }
+
+    // Streams in time of those that arrived.
+    double run()
+    {
+        while (m_now < start + Seconds(40))
+            step();
+        return static_cast<double>(m_inTime) / static_cast<double>(m_arrived);
+    }
+
+private:
+    static constexpr std::size_t ranks = 16;
+    static constexpr std::size_t window = 9 * ranks;
+    static constexpr std::size_t slowWindow = 5 * ranks;
+    static constexpr int eventsOfStream = 24;
+    static constexpr Milliseconds betweenArrivals{10};
+
+    struct Stream
+    {
+        int m_left = eventsOfStream;
+        bool m_isLate = false;
+    };
+
+    // Of four steps of an engine, in milliseconds: without requests, and for each on a rank.
+    Milliseconds stepTime() const
+    {
+        constexpr double empty = 18.2;
+        constexpr double forRequest = 3.6;
+        const auto second = std::chrono::duration_cast<Milliseconds>(m_now - start).count();
+        const double skew = second % 3300 < 1000 ? 3.3 : 1.15;
+        const double onRank = static_cast<double>(m_streams.size()) / ranks;
+        return Milliseconds(static_cast<int>(empty + forRequest * onRank * (0.15 + 0.85 * skew)));
+    }
+
+    void step()
+    {
+        const Milliseconds took = stepTime();
+        m_now += took;
+        for (; m_nextArrival <= m_now; m_nextArrival += betweenArrivals) {
+            ++m_arrived;
+            ++m_waiting;
+        }
+        std::deque<Stream> left;
+        for (Stream stream : m_streams) {
+            m_gate.noteEventPause(took, longestPause, m_now);
+            stream.m_isLate = stream.m_isLate || took > longestPause;
+            if (--stream.m_left > 0) {
+                left.push_back(stream);
+                continue;
+            }
+            m_gate.noteEnded(Milliseconds(1000), true);
+            m_inTime += stream.m_isLate ? 0 : 1;
+        }
+        m_streams = std::move(left);
+        for (; m_waiting > 0 && m_gate.mayStart(m_now); --m_waiting) {
+            m_gate.noteStarted();
+            m_streams.push_back({});
+        }
+    }
+
+    bool m_hasSlowWindow;
+    ServiceGate m_gate{retries};
+    TimePoint m_now = start;
+    TimePoint m_nextArrival = start;
+    std::deque<Stream> m_streams;
+    std::size_t m_waiting = 0;
+    std::size_t m_arrived = 0;
+    std::size_t m_inTime = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Gate)
+
+BOOST_AUTO_TEST_CASE(the_window_bounds_what_runs)
+{
+    ServiceGate gate(retries);
+    gate.setWindow(2, 2);
+    gate.noteStarted();
+    BOOST_TEST(gate.mayStart(start));
+    gate.noteStarted();
+    BOOST_TEST(!gate.mayStart(start));
+    gate.noteEnded(Milliseconds(10), true);
+    BOOST_TEST(gate.mayStart(start));
+}
+
+// The load pattern of a group that has stalled: it refuses everything until it has formed.
+BOOST_AUTO_TEST_CASE(a_service_that_refuses_everything_is_tried_by_one_request_at_a_time)
+{
+    ServiceGate gate(retries);
+    gate.setWindow(50, 50);
+    TimePoint now = start;
+    unsigned sent = 0;
+    for (; now < start + Seconds(5); now += Milliseconds(10)) {
+        while (gate.mayStart(now)) {
+            ++sent;
+            gate.noteStarted();
+            gate.noteRefused(now);
+            gate.noteEnded(Milliseconds(5), false);
+        }
+    }
+    BOOST_TEST(sent < 25U);
+    BOOST_TEST(gate.mayStart(now + Seconds(1)));
+    gate.noteStarted();
+    gate.noteEnded(Milliseconds(5), true);
+    gate.noteStarted();
+    BOOST_TEST(gate.mayStart(now));
+}
+
+// The load pattern of a demand for experts that shifts every few seconds, under a burst.
+BOOST_AUTO_TEST_CASE(a_smaller_window_while_steps_are_slow_keeps_more_streams_in_time)
+{
+    const double ours = LockStepReplay(true).run();
+    const double naive = LockStepReplay(false).run();
+    BOOST_TEST(ours > naive + 0.1, ours << " of the streams in time, with one window " << naive);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/gateway/test_waitingline.cpp
@@ -0,0 +1,94 @@
+#include <burdockhead/gateway/waitingline.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace burdockhead;
+
+namespace {
+
+const TimePoint start{Seconds(100)};
+
+Waiter waiter(WaiterId id, unsigned priority, Milliseconds arrival, Milliseconds objective)
+{
+    return {id, priority, start + arrival, start + arrival + objective};
+}
+
+// A burst of twice the capacity for two seconds, then less than the capacity: how many start
+// within their objective when `takeNext` says who is next.
+template <typename Push, typename TakeNext>
+unsigned startedInTime(Push push, TakeNext takeNext)
+{
+    constexpr Milliseconds objective{400};
+    constexpr int slice = 10; // Milliseconds in which the service starts one request.
+    unsigned inTime = 0;
+    WaiterId id = 0;
+    for (int at = 0; at < 8000; at += slice) {
+        const TimePoint now = start + Milliseconds(at);
+        const int arrivals = at < 2000 ? 2 : (at / slice) % 5 == 0 ? 0 : 1;
+        for (int arrival = 0; arrival < arrivals; ++arrival)
+            push(waiter(++id, 1, Milliseconds(at), objective));
+        const auto next = takeNext(now);
+        inTime += next && now <= next->m_onTimeUntil ? 1 : 0;
+    }
+    return inTime;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Waiting)
+
+BOOST_AUTO_TEST_CASE(urgent_requests_go_first_and_then_the_older)
+{
+    WaitingLine line;
+    line.push(waiter(1, 2, Milliseconds(0), Milliseconds(500)));
+    line.push(waiter(2, 1, Milliseconds(20), Milliseconds(500)));
+    line.push(waiter(3, 1, Milliseconds(10), Milliseconds(500)));
+    BOOST_TEST(line.ahead(waiter(9, 1, Milliseconds(30), Milliseconds(500)), start) == 2U);
+    BOOST_TEST(line.pop(start)->m_id == 3U);
+    BOOST_TEST(line.pop(start)->m_id == 2U);
+    BOOST_TEST(line.pop(start)->m_id == 1U);
+    BOOST_TEST(!line.pop(start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_are_late_already_wait_for_those_that_are_not)
+{
+    WaitingLine line;
+    line.push(waiter(1, 0, Milliseconds(0), Milliseconds(100)));
+    line.push(waiter(2, 3, Milliseconds(150), Milliseconds(100)));
+    BOOST_TEST(line.pop(start + Milliseconds(200))->m_id == 2U);
+    BOOST_TEST(line.pop(start + Milliseconds(200))->m_id == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(one_that_has_left_is_not_taken)
+{
+    WaitingLine line;
+    line.push(waiter(1, 0, Milliseconds(0), Milliseconds(100)));
+    line.push(waiter(2, 0, Milliseconds(0), Milliseconds(100)));
+    BOOST_TEST(line.remove(1));
+    BOOST_TEST(!line.remove(1));
+    BOOST_TEST(line.size() == 1U);
+    BOOST_TEST(line.pop(start)->m_id == 2U);
+}
+
+// The load pattern of a burst over capacity, against plain order of arrival.
+BOOST_AUTO_TEST_CASE(after_a_burst_more_requests_start_in_time_than_in_order_of_arrival)
+{
+    WaitingLine line;
+    const unsigned ours = startedInTime([&](const Waiter &next) { line.push(next); },
+                                        [&](TimePoint now) { return line.pop(now); });
+    std::deque<Waiter> arrivals;
+    const unsigned inOrder = startedInTime(
+        [&](const Waiter &next) { arrivals.push_back(next); },
+        [&](TimePoint) -> std::optional<Waiter> {
+            if (arrivals.empty())
+                return std::nullopt;
+            const Waiter next = arrivals.front();
+            arrivals.pop_front();
+            return next;
+        });
+    BOOST_TEST(ours > 2 * inOrder, ours << " in time, in order of arrival " << inOrder);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -0,0 +1,203 @@
+#include "freeport.h"
+#include "loopback.h"
+#include <burdockhead/net/httpclientpool.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <deque>
+
+using namespace burdockhead;
+using namespace burdockhead::test;
+
+namespace {
+
+// A server whose every byte the test decides: each connection answers with the next script.
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(EventLoop &loop)
+        : m_loop(loop)
+        , m_acceptor(loop.context(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                                             m_address.m_port))
+    {
+        accept();
+    }
+
+    void answerWith(std::string bytes, bool thenCloses)
+    {
+        m_scripts.push_back({std::move(bytes), thenCloses});
+    }
+
+    const SocketAddress &address() const { return m_address; }
+    std::size_t connections() const { return m_connections.size(); }
+    std::size_t requests() const { return m_requests; }
+
+private:
+    struct Script
+    {
+        std::string m_bytes;
+        bool m_closes = false;
+    };
+
+    struct Connection : TcpStreamOwner
+    {
+        void streamReceived(std::string_view) override { m_server->request(*this); }
+        void streamEnded(StreamEnd) override { m_stream->close(); }
+
+        ScriptedServer *m_server = nullptr;
+        std::shared_ptr<TcpStream> m_stream;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            socket.non_blocking(true);
+            m_connections.push_back(std::make_unique<Connection>());
+            Connection &connection = *m_connections.back();
+            connection.m_server = this;
+            connection.m_stream = TcpStream::adopt(m_loop, socket.release(), connection);
+            accept();
+        });
+    }
+
+    void request(Connection &connection)
+    {
+        ++m_requests;
+        if (m_scripts.empty())
+            return;
+        const Script script = m_scripts.front();
+        m_scripts.pop_front();
+        connection.m_stream->write(script.m_bytes);
+        if (script.m_closes)
+            connection.m_stream->finishWriting();
+    }
+
+    EventLoop &m_loop;
+    SocketAddress m_address = freeLoopbackAddress();
+    asio::ip::tcp::acceptor m_acceptor;
+    std::deque<Script> m_scripts;
+    std::vector<std::unique_ptr<Connection>> m_connections;
+    std::size_t m_requests = 0;
+};
+
+struct Observer : HttpCallObserver
+{
+    void callHead(const HttpHead &head) override { m_status = head.m_status; }
+    void callBody(std::string_view bytes) override { m_body.append(bytes); }
+    void callEnded(CallEnd end) override { m_end = end; }
+
+    int m_status = 0;
+    std::string m_body;
+    std::optional<CallEnd> m_end;
+};
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct Fixture
+{
+    EventLoop m_loop;
+    ScriptedServer m_server{m_loop};
+    HttpClientPool m_pool{m_loop};
+
+    std::unique_ptr<HttpCall> call(Observer &observer)
+    {
+        return m_pool.call(m_server.address(), request,
+                           {Clock::now() + Seconds(2), Milliseconds(4000), false}, observer);
+    }
+
+    CallEnd end(Observer &observer)
+    {
+        const auto inProgress = call(observer);
+        runUntil(m_loop, [&] { return observer.m_end.has_value(); });
+        return *observer.m_end;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClientPool, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_connection_is_kept_after_a_whole_answer)
+{
+    for (int count = 0; count < 3; ++count) {
+        m_server.answerWith(wholeAnswer, false);
+        Observer observer;
+        BOOST_TEST((end(observer) == CallEnd::Complete));
+        BOOST_TEST(observer.m_body == "ok");
+    }
+    BOOST_TEST(m_pool.connectionsMade() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_never_sent_a_second_time)
+{
+    m_server.answerWith(wholeAnswer, true);
+    Observer first;
+    BOOST_TEST((end(first) == CallEnd::Complete));
+    m_server.answerWith("", true);
+    Observer second;
+    BOOST_TEST((end(second) == CallEnd::Broken));
+    BOOST_TEST(m_server.requests() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_means_that_nothing_was_sent)
+{
+    Observer observer;
+    const auto inProgress = m_pool.call(freeLoopbackAddress(), request,
+                                        {Clock::now() + Seconds(2), {}, false}, observer);
+    runUntil(m_loop, [&] { return observer.m_end.has_value(); });
+    BOOST_TEST((*observer.m_end == CallEnd::NotSent));
+    BOOST_TEST(!inProgress->hasSent());
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_are_cut_short_or_not_http_are_no_answers)
+{
+    m_server.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", true);
+    Observer cut;
+    BOOST_TEST((end(cut) == CallEnd::Broken));
+    m_server.answerWith("garbage\r\n\r\n", false);
+    Observer garbage;
+    BOOST_TEST((end(garbage) == CallEnd::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_after_an_answer_belong_to_no_request)
+{
+    m_server.answerWith(wholeAnswer + wholeAnswer, false);
+    Observer first;
+    BOOST_TEST((end(first) == CallEnd::Complete));
+    m_server.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew", false);
+    Observer second;
+    BOOST_TEST((end(second) == CallEnd::Complete));
+    BOOST_TEST(second.m_body == "new");
+    BOOST_TEST(m_pool.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_is_dropped_closes_its_connection)
+{
+    Observer observer;
+    auto inProgress = call(observer);
+    runUntil(m_loop, [&] { return m_server.requests() == 1; });
+    inProgress.reset();
+    m_server.answerWith(wholeAnswer, false);
+    Observer next;
+    BOOST_TEST((end(next) == CallEnd::Complete));
+    BOOST_TEST(!observer.m_end.has_value());
+    BOOST_TEST(m_pool.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_not_used)
+{
+    m_server.answerWith(wholeAnswer, false);
+    Observer first;
+    BOOST_TEST((end(first) == CallEnd::Complete));
+    m_server.answerWith(wholeAnswer, false);
+    Observer second;
+    const auto inProgress = m_pool.call(m_server.address(), request,
+                                        {Clock::now() + Seconds(2), Milliseconds(0), false}, second);
+    runUntil(m_loop, [&] { return second.m_end.has_value(); });
+    BOOST_TEST(m_pool.connectionsMade() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/net/test_httplistener.cpp
@@ -0,0 +1,138 @@
+#include "freeport.h"
+#include "loopback.h"
+#include <burdockhead/net/httplistener.h>
+
+using namespace burdockhead;
+using namespace burdockhead::test;
+
+namespace {
+
+// A listener that keeps what it is asked.
+struct Server
+{
+    explicit Server(EventLoop &loop)
+        : m_listener(loop,
+                     [this](const std::shared_ptr<HttpExchange> &exchange) {
+                         m_exchanges.push_back(exchange);
+                         exchange->onClientGone([this] { ++m_gone; });
+                     })
+    {
+        std::string error;
+        BOOST_REQUIRE_MESSAGE(m_listener.start(m_address, error), error);
+    }
+
+    SocketAddress m_address = freeLoopbackAddress();
+    std::vector<std::shared_ptr<HttpExchange>> m_exchanges;
+    unsigned m_gone = 0;
+    HttpListener m_listener;
+};
+
+struct Fixture
+{
+    EventLoop m_loop;
+    Server m_server{m_loop};
+    RawClient m_client{m_loop, m_server.m_address};
+
+    void awaitRequests(std::size_t count)
+    {
+        runUntil(m_loop, [&] { return m_server.m_exchanges.size() == count; });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Listener, Fixture)
+
+BOOST_AUTO_TEST_CASE(requests_on_one_connection_are_answered_one_after_the_other)
+{
+    m_client.write("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi");
+    awaitRequests(1);
+    BOOST_TEST(m_server.m_exchanges[0]->head().m_target == "/a");
+    m_server.m_exchanges[0]->answer(200, {}, "one");
+    awaitRequests(2);
+    BOOST_TEST(m_server.m_exchanges[1]->body() == "hi");
+    m_server.m_exchanges[1]->answer(503, {}, "two");
+    runUntil(m_loop, [&] { return m_client.received().ends_with("two"); });
+    BOOST_TEST(m_client.received().find("one") < m_client.received().find("503"));
+}
+
+// The HTTP server of the callers' port notices this only when it writes.
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_while_its_request_is_in_work_is_noticed)
+{
+    m_client.write("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_client.close();
+    runUntil(m_loop, [&] { return m_server.m_gone == 1; });
+    m_server.m_exchanges[0]->answer(200, {}, "goes nowhere");
+    BOOST_TEST(m_server.m_listener.openRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(parts_of_an_answer_come_as_chunks_and_end_with_an_empty_one)
+{
+    m_client.write("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->startAnswer(200, {{"X-Seal", "s"}});
+    m_server.m_exchanges[0]->sendPart("part");
+    m_server.m_exchanges[0]->finishAnswer();
+    runUntil(m_loop, [&] { return m_client.received().ends_with("4\r\npart\r\n0\r\n\r\n"); });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_broken_off_does_not_look_complete)
+{
+    m_client.write("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->startAnswer(200, {});
+    m_server.m_exchanges[0]->sendPart("part");
+    m_server.m_exchanges[0]->breakOff();
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(!m_client.received().ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_read_is_refused_and_harms_no_other_connection)
+{
+    RawClient other(m_loop, m_server.m_address);
+    other.write("GET /b HTTP/1.1\r\n\r\n");
+    m_client.write("NONSENSE\r\n\r\n");
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().starts_with("HTTP/1.1 400"));
+    awaitRequests(1);
+    m_server.m_exchanges[0]->answer(200, {}, "fine");
+    runUntil(m_loop, [&] { return other.received().ends_with("fine"); });
+}
+
+BOOST_AUTO_TEST_CASE(a_head_or_body_over_the_limits_is_refused)
+{
+    HttpServerLimits limits;
+    limits.m_maxHeaderBytes = 200;
+    limits.m_maxBodyBytes = 10;
+    m_server.m_listener.setLimits(limits);
+    RawClient large(m_loop, m_server.m_address);
+    large.write("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+    m_client.write("GET / HTTP/1.1\r\nX-Long: " + std::string(300, 'x') + "\r\n\r\n");
+    runUntil(m_loop, [&] { return m_client.hasEnded() && large.hasEnded(); });
+    BOOST_TEST(m_client.received().starts_with("HTTP/1.1 431"));
+    BOOST_TEST(large.received().starts_with("HTTP/1.1 413"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_never_ends_is_refused_in_time)
+{
+    HttpServerLimits limits;
+    limits.m_headerTimeout = Milliseconds(50);
+    m_server.m_listener.setLimits(limits);
+    m_client.write("GET / HTTP/1.1\r\nX-Part");
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().starts_with("HTTP/1.1 408"));
+}
+
+BOOST_AUTO_TEST_CASE(before_a_stop_each_answer_closes_its_connection)
+{
+    m_client.write("GET / HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_listener.closeAfterAnswers();
+    m_server.m_exchanges[0]->answer(200, {}, "last");
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().find("Connection: close") != std::string::npos);
+    BOOST_TEST(m_client.received().ends_with("last"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -0,0 +1,184 @@
+#include "groupsimulation.h"
+
+#include <algorithm>
+
+namespace burdockhead::test {
+
+namespace {
+
+// Moments of the simulation between two rounds, each of which may begin a step.
+constexpr std::size_t ticksPerRound = 2;
+// When a late order is carried out, in moments: within, and long after, a whole change.
+constexpr std::size_t shortestDelay = 3;
+constexpr std::size_t longestDelay = 120;
+constexpr std::size_t longestLoading = 8;
+
+} // namespace
+
+GroupSimulation::GroupSimulation(std::size_t ranks, const GroupFaults &faults, std::uint64_t seed)
+    : m_faults(faults)
+    , m_random(seed)
+    , m_ranks(ranks)
+{}
+
+double GroupSimulation::chance()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+void GroupSimulation::beginStep()
+{
+    if (m_held == m_step + 1)
+        return;
+    ++m_step;
+    for (Rank &rank : m_ranks) {
+        if (!rank.m_armed || rank.m_armed->m_step != m_step)
+            continue;
+        rank.m_map = *rank.m_prepared;
+        rank.m_prepared.reset();
+        rank.m_armed.reset();
+    }
+    const auto isOther = [&](const Rank &rank) { return rank.m_map != m_ranks.front().m_map; };
+    if (std::any_of(m_ranks.begin(), m_ranks.end(), isOther))
+        m_hasSplit = true;
+}
+
+void GroupSimulation::tick()
+{
+    ++m_now;
+    for (Rank &rank : m_ranks) {
+        if (rank.m_loading && m_now >= rank.m_loadedAt) {
+            rank.m_prepared = rank.m_loading;
+            rank.m_loading.reset();
+        }
+    }
+    while (!m_late.empty() && m_late.begin()->first <= m_now) {
+        const Pending pending = m_late.begin()->second;
+        m_late.erase(m_late.begin());
+        carryOut(pending);
+    }
+    if (m_random() % 3 != 0)
+        beginStep();
+}
+
+void GroupSimulation::carryOut(const Pending &pending)
+{
+    const RankOrder &order = pending.m_order;
+    Rank &rank = m_ranks.at(order.m_rank);
+    switch (order.m_type) {
+    case RankOrderType::Prepare:
+        if (order.m_version <= rank.m_highestVersion || rank.m_armed)
+            return;
+        rank.m_highestVersion = order.m_version;
+        rank.m_prepared.reset();
+        rank.m_loading = Map{order.m_version, pending.m_content};
+        rank.m_loadedAt = m_now + m_random() % longestLoading;
+        return;
+    case RankOrderType::Arm:
+        if (rank.m_prepared && rank.m_prepared->m_version == order.m_version
+            && order.m_step > m_step)
+            rank.m_armed = ArmedMap{order.m_version, order.m_step};
+        return;
+    case RankOrderType::Disarm:
+        if (rank.m_armed && rank.m_armed->m_version == order.m_version)
+            rank.m_armed.reset();
+        return;
+    case RankOrderType::Hold:
+        if (order.m_step > m_step && !m_held)
+            m_held = order.m_step;
+        return;
+    case RankOrderType::Go:
+        if (m_held == order.m_step)
+            m_held.reset();
+        return;
+    }
+}
+
+void GroupSimulation::give(const RankOrder &order)
+{
+    const Pending pending = {order, m_content};
+    const double fate = chance();
+    if (fate < m_faults.m_dropped)
+        return;
+    if (fate < m_faults.m_dropped + m_faults.m_late) {
+        m_late.emplace(m_now + shortestDelay + m_random() % longestDelay, pending);
+        return;
+    }
+    carryOut(pending);
+    // An order whose answer is lost may be given twice by the network as well.
+    if (chance() < m_faults.m_answerLost)
+        m_late.emplace(m_now + shortestDelay + m_random() % longestDelay, pending);
+}
+
+std::vector<RankView> GroupSimulation::views() const
+{
+    std::vector<RankView> views;
+    for (std::size_t index = 0; index < m_ranks.size(); ++index) {
+        const Rank &rank = m_ranks[index];
+        RankView view;
+        view.m_group = "g";
+        view.m_epoch = 1;
+        view.m_rank = static_cast<std::uint32_t>(index);
+        view.m_ranks = static_cast<std::uint32_t>(m_ranks.size());
+        view.m_isOpen = true;
+        view.m_step = m_step;
+        view.m_map = rank.m_map.m_version;
+        if (rank.m_prepared)
+            view.m_prepared = rank.m_prepared->m_version;
+        view.m_armed = rank.m_armed;
+        if (index == 0)
+            view.m_held = m_held;
+        views.push_back(view);
+    }
+    return views;
+}
+
+void GroupSimulation::round()
+{
+    const std::vector<RankView> now =
+        !m_oldViews.empty() && chance() < m_faults.m_paused ? m_oldViews : views();
+    m_oldViews = views();
+    if (!m_planned) {
+        m_versions = std::max(m_versions, MapRollout::nextVersion(now)) + 1;
+        m_planned = m_versions;
+        ++m_content;
+    }
+    const RolloutStep step = m_next(now, m_planned);
+    if (step.m_needsPlan || step.m_isDone) {
+        m_mapChanges += step.m_isDone ? 1 : 0;
+        m_planned.reset();
+        return;
+    }
+    for (const RankOrder &order : step.m_orders) {
+        give(order);
+        if (m_random() % 2 == 0)
+            tick();
+    }
+}
+
+void GroupSimulation::run(std::size_t rounds, const std::function<NextOrders()> &makeCoordinator)
+{
+    m_next = makeCoordinator();
+    for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
+        if (chance() < m_faults.m_restart) {
+            m_next = makeCoordinator();
+            m_planned.reset();
+        }
+        round();
+        for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
+            tick();
+    }
+}
+
+bool GroupSimulation::recovers(const std::function<NextOrders()> &makeCoordinator)
+{
+    constexpr std::size_t rounds = 300;
+    constexpr std::uint64_t steps = 20;
+    m_faults = {};
+    run(rounds, makeCoordinator);
+    const std::uint64_t before = m_step;
+    run(rounds, makeCoordinator);
+    return m_step > before + steps;
+}
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <burdockhead/base/random.h>
+#include <burdockhead/rankagent/maprollout.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace burdockhead::test {
+
+// What happens to orders and to the coordinator.
+struct GroupFaults
+{
+    double m_answerLost = 0; // Orders carried out whose answer is lost; it only repeats them.
+    double m_late = 0;       // Orders carried out many rounds later.
+    double m_dropped = 0;    // Orders that never arrive.
+    double m_restart = 0;    // Rounds after which the coordinator starts anew.
+    double m_paused = 0;     // Rounds whose views are old when their orders are given.
+};
+
+// Gives the next orders; planned is the version that the coordinator wants.
+using NextOrders = std::function<RolloutStep(const std::vector<RankView> &,
+                                             std::optional<std::uint64_t> planned)>;
+
+// A group of ranks in lock-step that carries out orders as engines do, with faults, and notes
+// whether a step was ever begun while two ranks had different maps.
+class GroupSimulation
+{
+public:
+    GroupSimulation(std::size_t ranks, const GroupFaults &faults, std::uint64_t seed);
+
+    // Runs so many rounds of the coordinator; `makeCoordinator` is called for each start of it.
+    void run(std::size_t rounds, const std::function<NextOrders()> &makeCoordinator);
+
+    // Goes on without faults; true if the group ends up free and able to make steps.
+    bool recovers(const std::function<NextOrders()> &makeCoordinator);
+
+    bool hasSplit() const { return m_hasSplit; }
+    std::size_t mapChanges() const { return m_mapChanges; }
+
+private:
+    struct Map
+    {
+        std::uint64_t m_version = 0;
+        std::uint64_t m_content = 0;
+
+        friend bool operator==(const Map &, const Map &) = default;
+    };
+
+    struct Rank
+    {
+        Map m_map;
+        std::optional<Map> m_prepared;
+        std::optional<Map> m_loading;
+        std::size_t m_loadedAt = 0;
+        std::optional<ArmedMap> m_armed;
+        std::uint64_t m_highestVersion = 0;
+    };
+
+    struct Pending
+    {
+        RankOrder m_order;
+        std::uint64_t m_content = 0;
+    };
+
+    double chance();
+    void tick();
+    void beginStep();
+    void carryOut(const Pending &pending);
+    void give(const RankOrder &order);
+    std::vector<RankView> views() const;
+    void round();
+
+    GroupFaults m_faults;
+    Random m_random;
+    std::vector<Rank> m_ranks;
+    std::uint64_t m_step = 1;
+    std::optional<std::uint64_t> m_held;
+    std::size_t m_now = 0;
+    std::multimap<std::size_t, Pending> m_late;
+    std::vector<RankView> m_oldViews;
+    NextOrders m_next;
+    std::optional<std::uint64_t> m_planned;
+    std::uint64_t m_content = 0; // Of the planned map; another one for each plan.
+    std::uint64_t m_versions = 0;
+    bool m_hasSplit = false;
+    std::size_t m_mapChanges = 0;
+};
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/internal/rankagent/test_expertdemand.cpp
@@ -0,0 +1,88 @@
+#include <burdockhead/rankagent/expertdemand.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockhead;
+
+namespace {
+
+constexpr std::size_t layers = 2;
+constexpr std::size_t experts = 8;
+constexpr std::uint64_t perRound = 4000;
+
+// Counts that grow each round, for one expert most.
+class CountingRank
+{
+public:
+    const ExpertCounts &round(std::size_t popular)
+    {
+        for (std::size_t layer = 0; layer < layers; ++layer) {
+            for (std::size_t expert = 0; expert < experts; ++expert)
+                m_counts.m_counts[layer * experts + expert] +=
+                    expert == popular ? perRound : perRound / 20;
+        }
+        return m_counts;
+    }
+    void restart() { m_counts.m_counts.assign(layers * experts, 0); }
+
+private:
+    ExpertCounts m_counts{1, std::vector<std::uint64_t>(layers * experts, 0)};
+};
+
+double share(const ExpertDemand &demand, std::size_t expert)
+{
+    double total = 0;
+    for (const double load : demand.loads().m_layers.front())
+        total += load;
+    return demand.loads().m_layers.front()[expert] / total;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Demand)
+
+// The load pattern of the users' groups: a steady demand that shifts at once.
+BOOST_AUTO_TEST_CASE(a_shift_shows_in_the_first_round_after_it)
+{
+    ExpertDemand demand(layers, experts);
+    CountingRank rank;
+    for (int round = 0; round < 30; ++round) {
+        demand.add(0, 1, rank.round(3));
+        BOOST_TEST(!demand.endRound());
+    }
+    BOOST_TEST(share(demand, 3) > 0.7);
+    demand.add(0, 1, rank.round(5));
+    BOOST_TEST(demand.endRound());
+    BOOST_TEST(share(demand, 5) > 0.7);
+    BOOST_TEST(share(demand, 3) < 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(a_rank_that_starts_again_counts_anew)
+{
+    ExpertDemand demand(layers, experts);
+    CountingRank rank;
+    demand.add(0, 1, rank.round(3));
+    demand.endRound();
+    const double before = demand.loads().m_layers.front()[3];
+    rank.restart();
+    demand.add(0, 2, rank.round(3));
+    demand.endRound();
+    BOOST_TEST(demand.loads().m_layers.front()[3] > before);
+}
+
+BOOST_AUTO_TEST_CASE(few_counts_wait_for_more)
+{
+    ExpertDemand demand(layers, experts);
+    demand.add(0, 1, {1, std::vector<std::uint64_t>(layers * experts, 3)});
+    BOOST_TEST(!demand.endRound());
+    BOOST_TEST(!demand.isTelling());
+}
+
+BOOST_AUTO_TEST_CASE(counts_of_another_shape_are_ignored)
+{
+    ExpertDemand demand(layers, experts);
+    demand.add(0, 1, {1, std::vector<std::uint64_t>(3, 100000)});
+    BOOST_TEST(!demand.isTelling());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -0,0 +1,146 @@
+#include "groupsimulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+using namespace burdockhead;
+using namespace burdockhead::test;
+
+namespace {
+
+constexpr std::uint64_t seeds = 300;
+constexpr std::size_t ranks = 6;
+constexpr std::size_t rounds = 400;
+
+NextOrders makeRollout()
+{
+    const auto rollout = std::make_shared<MapRollout>();
+    return [rollout](const auto &views, auto planned) { return rollout->next(views, planned); };
+}
+
+// Arms all ranks for a step that is a little ahead, without a hold.
+NextOrders makeWithoutHold()
+{
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
+        RolloutStep step = MapRollout().next(views, planned);
+        std::vector<RankOrder> orders;
+        for (const RankOrder &order : step.m_orders) {
+            if (order.m_type == RankOrderType::Prepare)
+                orders.push_back(order);
+            if (order.m_type != RankOrderType::Hold)
+                continue;
+            for (const RankView &view : views)
+                orders.push_back(
+                    {view.m_rank, RankOrderType::Arm, view.m_epoch, *planned, order.m_step});
+        }
+        step.m_orders = orders;
+        return step;
+    };
+}
+
+// Gives up a change whose ranks aren't all armed at the second look, and lets the group go.
+NextOrders makeImpatient()
+{
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
+        RolloutStep step = MapRollout().next(views, planned);
+        const bool arms = !step.m_orders.empty() && views.front().m_held
+            && step.m_orders.front().m_type == RankOrderType::Arm;
+        if (arms && step.m_orders.size() < views.size()) {
+            step.m_orders.clear();
+            for (const RankView &view : views) {
+                if (view.m_armed)
+                    step.m_orders.push_back({view.m_rank, RankOrderType::Disarm, view.m_epoch,
+                                             view.m_armed->m_version, 0});
+            }
+            step.m_orders.push_back(
+                {0, RankOrderType::Go, views.front().m_epoch, 0, *views.front().m_held});
+        }
+        return step;
+    };
+}
+
+const GroupFaults noFaults;
+const GroupFaults lateOrders = {0.2, 0.3, 0.05, 0, 0};
+const GroupFaults restarts = {0.1, 0.2, 0.05, 0.05, 0};
+const GroupFaults everything = {0.2, 0.3, 0.1, 0.03, 0.1};
+
+std::size_t splits(const GroupFaults &faults, const std::function<NextOrders()> &make)
+{
+    std::size_t count = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        GroupSimulation group(ranks, faults, seed);
+        group.run(rounds, make);
+        count += group.hasSplit() ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Rollout)
+
+BOOST_AUTO_TEST_CASE(maps_change_one_after_the_other_without_faults)
+{
+    GroupSimulation group(ranks, noFaults, 1);
+    group.run(rounds, makeRollout);
+    BOOST_TEST(!group.hasSplit());
+    BOOST_TEST(group.mapChanges() > 10U);
+}
+
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_late_lost_and_doubled_orders)
+{
+    BOOST_TEST(splits(lateOrders, makeRollout) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(no_step_is_split_when_the_coordinator_starts_anew_at_any_moment)
+{
+    BOOST_TEST(splits(restarts, makeRollout) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_orders_from_old_views_and_all_faults_together)
+{
+    BOOST_TEST(splits(everything, makeRollout) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_group_that_faults_left_held_goes_on)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        GroupSimulation group(ranks, everything, seed);
+        group.run(rounds, makeRollout);
+        BOOST_TEST(group.recovers(makeRollout), "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(late_orders_split_steps_without_the_hold)
+{
+    BOOST_TEST(splits(lateOrders, makeWithoutHold) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(late_orders_split_steps_when_a_change_is_given_up_halfway)
+{
+    BOOST_TEST(splits(lateOrders, makeImpatient) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_ordered_while_a_rank_is_unknown_or_the_group_is_broken)
+{
+    GroupSimulation group(ranks, noFaults, 1);
+    std::vector<RankView> views(ranks);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        views[rank].m_rank = static_cast<std::uint32_t>(rank);
+        views[rank].m_ranks = ranks;
+        views[rank].m_isOpen = true;
+    }
+    BOOST_TEST(!MapRollout().next(views, 1).m_orders.empty());
+    auto broken = views;
+    broken[3].m_isOpen = false;
+    BOOST_TEST(MapRollout().next(broken, 1).m_orders.empty());
+    auto reformed = views;
+    reformed[2].m_epoch = 7;
+    BOOST_TEST(MapRollout().next(reformed, 1).m_orders.empty());
+    auto unknown = views;
+    unknown.pop_back();
+    BOOST_TEST(MapRollout().next(unknown, 1).m_orders.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/internal/rankagent/test_rankmessages.cpp
@@ -0,0 +1,35 @@
+#include "property.h"
+#include <burdockhead/rankagent/rankmessages.h>
+
+using namespace burdockhead;
+
+namespace {
+
+RankStatus someStatus()
+{
+    RankStatus status;
+    status.m_view = {"g0", 3, 5, 16, true, 1777694836900, 812, 4, 5, ArmedMap{5, 820}, 820};
+    status.m_counts = {3, {5120, 88, 940}};
+    status.m_experts = {4, {{0, 2}, {1, 0}}};
+    return status;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RankMessages)
+
+BOOST_AUTO_TEST_CASE(a_status_reads_back_as_it_was_written)
+{
+    const auto read = readRankStatus(writeRankStatus(someStatus()));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((*read == someStatus()));
+}
+
+BOOST_AUTO_TEST_CASE(a_status_that_is_cut_short_is_refused)
+{
+    const std::string message = writeRankStatus(someStatus());
+    for (std::size_t length = 0; length < message.size(); ++length)
+        BOOST_TEST(!readRankStatus(message.substr(0, length)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_platformstoredialect.cpp
@@ -0,0 +1,142 @@
+#include <boost/test/unit_test.hpp>
+
+#include <platform/platformstoredialect.h>
+
+using namespace burdockhead;
+
+namespace {
+
+const PlatformStoreDialect dialect;
+
+const std::string configurationSpec = R"({"version":7,"routes":[
+ {"name":"r-2","host":"ficu95.example","pathPrefix":"/lohu930/","routeType":"streaming",
+  "timeoutMs":8000,"goalMs":500,"priority":1,
+  "weightedServices":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],
+  "maxAttempts":2,"public":false,"sessionAffinity":true,"streamResume":true,"gapAimMs":120},
+ {"name":"r-3","host":"ficu95.example","pathPrefix":"/pay/","routeType":"unsafe",
+  "service":"wuno96b","maxAttempts":1,"public":true}],
+ "services":[{"name":"huvo11a","healthPath":"/health","maxConnections":418,"coldPerS":36.0,
+  "engine":{"slots":12,"sets":4,"experts":64,"places":5,"spare":2}},
+  {"name":"wuno96b","maxConnections":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000},
+ "tenants":[{"name":"hule930","apiKeys":["k1","k2"],"priority":1}]})";
+
+std::string listed(const std::string &name, const std::string &spec)
+{
+    return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":5},"spec":)" + spec
+        + R"(,"status":null}],"hasMore":false,"asOf":530})";
+}
+
+StoreChange only(StoreKind kind, const std::string &body)
+{
+    const auto page = dialect.readList(kind, body);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_REQUIRE(page->m_changes.size() == 1);
+    return page->m_changes.front();
+}
+
+std::string endpointSpec(const std::string &state = "ready",
+                         const std::string &address = "10.128.0.9:8080")
+{
+    return R"({"service":"huvo11a","address":")" + address
+        + R"(","zone":"th-central-a","version":"v1","slots":12,"state":")" + state
+        + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":4})";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StoreDialectOfThePlatform)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read)
+{
+    const StoreChange change = only(StoreKind::Configuration, listed("main", configurationSpec));
+    const auto configuration = std::get<GatewayConfigurationPointer>(change.m_value);
+    BOOST_TEST(configuration->version() == 7U);
+    const Route &stream = configuration->routes().at(0);
+    BOOST_TEST((stream.m_kind == RouteKind::Stream));
+    BOOST_TEST(stream.isRepeatable());
+    BOOST_TEST(stream.m_services.size() == 2U);
+    BOOST_TEST(stream.m_services.at(0).m_weight == 90U);
+    BOOST_TEST(stream.m_objective.count() == 500);
+    BOOST_TEST(stream.m_longestPause.count() == 120);
+    const Route &payment = configuration->routes().at(1);
+    BOOST_TEST(!payment.isRepeatable());
+    BOOST_TEST(payment.m_isPublic);
+    const GatewayService *engine = configuration->findService(GroupName("huvo11a"));
+    BOOST_TEST(engine->m_batch == 12U);
+    BOOST_TEST(engine->m_experts.value().m_placesPerRank == 5U);
+    BOOST_TEST(!configuration->findService(GroupName("wuno96b"))->m_experts.has_value());
+    BOOST_TEST(configuration->findWorkspace("k2")->m_name.text() == "hule930");
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_is_read)
+{
+    const StoreChange change = only(StoreKind::Endpoints, listed("i-7f3a", endpointSpec()));
+    const auto entry = std::get<EndpointEntry>(change.m_value);
+    BOOST_TEST(entry.m_name.text() == "i-7f3a");
+    BOOST_TEST(entry.m_address.toString() == "10.128.0.9:8080");
+    BOOST_TEST(entry.m_slots == 12U);
+    BOOST_TEST(entry.m_startedAt == 1777694836900U);
+    BOOST_TEST(!entry.m_isLeaving);
+    const auto leaving =
+        only(StoreKind::Endpoints, listed("i-7f3a", endpointSpec("draining")));
+    BOOST_TEST(std::get<EndpointEntry>(leaving.m_value).m_isLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_another_writer_name_no_endpoint_and_the_others_hold)
+{
+    for (const std::string &spec :
+         {std::string("{}"), std::string("null"), std::string("17"), std::string("[1,2]"),
+          endpointSpec("asleep"), endpointSpec("ready", "nowhere"),
+          std::string(R"({"service":5,"address":"10.0.0.1:80","zone":"a","state":"ready"})"),
+          std::string(R"({"service":"s","address":"10.0.0.1:80","zone":"a"})")}) {
+        const StoreChange change = only(StoreKind::Endpoints, listed("i-bad", spec));
+        BOOST_TEST(std::holds_alternative<UnusableObject>(change.m_value), spec);
+    }
+    const auto page = dialect.readList(
+        StoreKind::Endpoints, R"({"items":[{"metadata":{"name":"bad"},"spec":{}},)"
+                                  R"({"metadata":{"name":"good"},"spec":)"
+            + endpointSpec() + R"(}],"hasMore":true,"asOf":7})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->m_hasMore);
+    BOOST_TEST(std::holds_alternative<EndpointEntry>(page->m_changes.at(1).m_value));
+}
+
+BOOST_AUTO_TEST_CASE(changes_are_read)
+{
+    const auto page = dialect.readChanges(
+        StoreKind::Endpoints,
+        R"({"events":[{"removed":true,"object":{"metadata":{"name":"i-1"},"spec":)" + endpointSpec()
+            + R"(}},{"removed":false,"object":{"metadata":{"name":"i-2"},"spec":)" + endpointSpec()
+            + R"(}}],"asOf":533})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->m_revision == 533U);
+    BOOST_TEST(page->m_changes.at(0).m_isRemoved);
+    BOOST_TEST(std::holds_alternative<std::monostate>(page->m_changes.at(0).m_value));
+    BOOST_TEST(std::holds_alternative<EndpointEntry>(page->m_changes.at(1).m_value));
+}
+
+BOOST_AUTO_TEST_CASE(a_data_centre_that_is_out_is_named)
+{
+    const StoreChange change = only(StoreKind::DataCentresOut, listed("th-central-a", "{}"));
+    BOOST_TEST(change.m_name == "th-central-a");
+    BOOST_TEST(!change.m_isRemoved);
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_cannot_be_read_are_none)
+{
+    for (const std::string body : {"", "{", "[]", "{}", R"({"items":[]})", R"({"asOf":3})",
+                                   R"({"items":[{"spec":{}}],"asOf":3})", "\xff\xfe"})
+        BOOST_TEST(!dialect.readList(StoreKind::Endpoints, body).has_value(), body);
+}
+
+BOOST_AUTO_TEST_CASE(calls_are_asked_as_the_store_takes_them)
+{
+    BOOST_TEST(dialect.listTarget(StoreKind::Endpoints, "") == "/-/objects/servers");
+    BOOST_TEST(dialect.listTarget(StoreKind::Endpoints, "i-7f") == "/-/objects/servers?after=i-7f");
+    BOOST_TEST(dialect.watchTarget(StoreKind::Configuration, 530, Milliseconds(4000))
+               == "/-/objects/config?watch=530&waitMs=4000");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/operators/commandrun.h
+++ b/tests/public/operators/commandrun.h
@@ -5,6 +5,7 @@
 
 #include <absl/flags/reflection.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
@@ -31,6 +32,15 @@
                                     [](const AgentSettings &settings) {
                                         lastProcessPort = settings.m_link.m_port;
                                         return 0;
+                                    },
+                                    [](const GatewaySettings &settings,
+                                       const ReadGatewaySettings &) {
+                                        lastProcessPort = settings.m_clients.m_port;
+                                        return 0;
+                                    },
+                                    [](const RankAgentSettings &settings) {
+                                        lastProcessPort = settings.m_agents.m_port;
+                                        return 0;
                                     }};
     const absl::FlagSaver savedFlags;
     std::istringstream in(input);
@@ -45,8 +55,8 @@
 {
 public:
     explicit ScopedFile(const std::string &text)
-        : m_name("operators-test-" + std::to_string(getpid()) + "-" + std::to_string(nextNumber())
-                 + ".ini")
+        : m_name(std::filesystem::temp_directory_path() / ("operators-test-" + std::to_string(getpid()) + "-" + std::to_string(nextNumber())
+                 + ".ini"))
     {
         std::ofstream(m_name) << text;
     }
