--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -159,9 +159,9 @@
     const bool closes = willClose();
     m_exchange.reset();
     --m_shared.m_openRequests;
-    if (!isWhole)
-        close();
-    else if (closes)
+    // What is written of an answer that breaks off still reaches the client, and its end doesn't
+    // look like one.
+    if (!isWhole || closes)
         lingerAndClose();
     else
         nextRequest();
--- a/tests/internal/gateway/test_servicegate.cpp
+++ b/tests/internal/gateway/test_servicegate.cpp
@@ -45,15 +45,19 @@
         bool m_isLate = false;
     };
 
-    // Of four steps of an engine, in milliseconds: without requests, and for each on a rank.
+    // Of four steps of an engine, in milliseconds: without requests, for each on a rank, and for
+    // each prompt that is read on some rank.
     Milliseconds stepTime() const
     {
         constexpr double empty = 18.2;
         constexpr double forRequest = 3.6;
+        constexpr double forPrompt = 13.6;
         const auto second = std::chrono::duration_cast<Milliseconds>(m_now - start).count();
         const double skew = second % 3300 < 1500 ? 3.3 : 1.15;
         const double onRank = static_cast<double>(m_streams.size()) / ranks;
-        return Milliseconds(static_cast<int>(empty + forRequest * onRank * (0.15 + 0.85 * skew)));
+        const double read = forPrompt * static_cast<double>(m_started) / ranks;
+        const double work = (forRequest * onRank + read) * (0.15 + 0.85 * skew);
+        return Milliseconds(static_cast<int>(empty + work));
     }
 
     void step()
@@ -76,7 +80,9 @@
             m_inTime += stream.m_isLate ? 0 : 1;
         }
         m_streams = std::move(left);
+        m_started = 0;
         for (; m_waiting > 0 && m_gate.mayStart(m_now); --m_waiting) {
+            ++m_started;
             m_gate.noteStarted();
             m_streams.push_back({});
         }
@@ -88,6 +94,7 @@
     TimePoint m_nextArrival = start;
     std::deque<Stream> m_streams;
     std::size_t m_waiting = 0;
+    std::size_t m_started = 0; // In the last step.
     std::size_t m_arrived = 0;
     std::size_t m_inTime = 0;
 };
--- /dev/null
+++ b/tests/public/gateway/gatewayworld.cpp
@@ -0,0 +1,158 @@
+#include "gatewayworld.h"
+
+#include "freeport.h"
+#include <burdockhead/http/httprequest.h>
+#include <burdockhead/net/httpwriting.h>
+
+#include <fstream>
+
+namespace burdockhead::test {
+
+namespace {
+
+constexpr Milliseconds connectTime{500};
+
+} // namespace
+
+ClientCall::ClientCall(HttpClientPool &pool, const SocketAddress &gateway,
+                       const std::string &method, const std::string &path,
+                       const HttpHeaders &headers, const std::string &body)
+{
+    HttpHeaders all = headers;
+    all.push_back({"Content-Length", std::to_string(body.size())});
+    m_call = pool.call(gateway, requestHead(method, path, all) + body,
+                       {Clock::now() + connectTime, Milliseconds(0), false}, *this);
+}
+
+std::string ClientCall::header(const char *name) const
+{
+    return findHeader(m_head.m_headers, name).value_or("");
+}
+
+GatewayWorld::GatewayWorld()
+    : m_clients(freeLoopbackAddress())
+    , m_folder(std::filesystem::temp_directory_path()
+               / ("gateway-test-" + std::to_string(m_clients.m_port)))
+    , m_readiness(freeLoopbackAddress())
+    , m_directory(freeLoopbackAddress())
+{
+    std::filesystem::create_directories(m_folder);
+    for (const std::string number : {"1", "2"}) {
+        m_llm.push_back(std::make_unique<EndpointStandIn>(m_loop, "llm-" + number, "llm"));
+        m_app.push_back(std::make_unique<EndpointStandIn>(m_loop, "app-" + number, "app"));
+    }
+}
+
+GatewayWorld::~GatewayWorld()
+{
+    m_gateway.reset();
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string GatewayWorld::configuration(int version, const std::string &credential)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+        {"name":"s","host":"h.example","pathPrefix":"/stream/","routeType":"streaming",
+         "timeoutMs":3000,"goalMs":500,"priority":1,"service":"llm","maxAttempts":2,
+         "streamResume":true,"gapAimMs":120},
+        {"name":"once","host":"h.example","pathPrefix":"/stream/once/","routeType":"streaming",
+         "timeoutMs":3000,"goalMs":500,"priority":1,"service":"llm","maxAttempts":1},
+        {"name":"g","host":"h.example","pathPrefix":"/safe/","routeType":"safe",
+         "timeoutMs":2000,"goalMs":100,"priority":2,"service":"app","maxAttempts":2},
+        {"name":"u","host":"h.example","pathPrefix":"/unsafe/","routeType":"unsafe",
+         "timeoutMs":2000,"goalMs":100,"priority":2,"service":"app","maxAttempts":1}],
+        "services":[{"name":"llm","healthPath":"/health","maxConnections":40,"coldPerS":1000.0,
+                     "engine":{"slots":4}},
+                    {"name":"app","healthPath":"/health","maxConnections":40,"coldPerS":0.0}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+                  "idleTimeoutMs":15000},
+        "tenants":[{"name":"w","apiKeys":[")"
+        + credential + R"("],"priority":1}]})";
+}
+
+void GatewayWorld::startGateway()
+{
+    const std::string settings = m_folder / "gateway.ini";
+    std::ofstream(settings) << "[process]\nname = g1\ndata_centre = a\n[listen]\nclients = "
+                            << m_clients.toString() << "\nreadiness = " << m_readiness.toString()
+                            << "\ndirectory = " << m_directory.toString()
+                            << "\npeers = " << freeLoopbackAddress().toString()
+                            << "\nmetrics = " << freeLoopbackAddress().toString()
+                            << "\n[store]\naddress = " << m_store.address().toString()
+                            << "\n[bounds]\nstop_grace_s = 5\n";
+    m_gateway = std::make_unique<ChildProcess>(
+        std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
+                                 "--settings=" + settings},
+        m_folder / "gateway.log");
+}
+
+void GatewayWorld::start()
+{
+    for (const auto &endpoint : m_llm)
+        m_store.put("servers", endpoint->id(), endpoint->entry());
+    for (const auto &endpoint : m_app)
+        m_store.put("servers", endpoint->id(), endpoint->entry());
+    m_store.put("config", "main", configuration(3));
+    startGateway();
+    for (int tries = 0; tries < 200 && readiness() != 200; ++tries)
+        pass(Milliseconds(20));
+    BOOST_REQUIRE(readiness() == 200);
+}
+
+std::unique_ptr<ClientCall> GatewayWorld::askOwn(const SocketAddress &address,
+                                                 const std::string &target)
+{
+    auto call = std::make_unique<ClientCall>(m_pool, address, "GET", target,
+                                             HttpHeaders{{"Host", address.toString()}}, "");
+    await([&] { return call->isOver(); });
+    return call;
+}
+
+int GatewayWorld::readiness()
+{
+    return askOwn(m_readiness, "/-/readiness")->status();
+}
+
+std::string GatewayWorld::addresses()
+{
+    return askOwn(m_directory, "/-/resolution?name=h.example&zone=a")->body();
+}
+
+std::unique_ptr<ClientCall> GatewayWorld::call(const std::string &method, const std::string &path,
+                                               const std::string &credential,
+                                               Milliseconds timeLeft)
+{
+    const HttpHeaders headers = {{"Host", "h.example"},
+                                 {"X-Request-Id", "r" + std::to_string(++m_lastRequest)},
+                                 {"X-Deadline-Ms", std::to_string(timeLeft.count())},
+                                 {"X-Model", "m"},
+                                 {"X-Tenant", "forged"},
+                                 {"Authorization", "Token " + credential}};
+    return std::make_unique<ClientCall>(m_pool, m_clients, method, path, headers,
+                                        method == "POST" ? "body" : "");
+}
+
+std::unique_ptr<ClientCall> GatewayWorld::ask(const std::string &method, const std::string &path,
+                                              const std::string &credential,
+                                              Milliseconds timeLeft)
+{
+    auto made = call(method, path, credential, timeLeft);
+    await([&] { return made->isOver(); });
+    return made;
+}
+
+void GatewayWorld::pass(Milliseconds span)
+{
+    const TimePoint end = Clock::now() + span;
+    await([&] { return Clock::now() >= end; });
+}
+
+std::size_t GatewayWorld::ranOf(const std::string &service) const
+{
+    std::size_t ran = 0;
+    for (const auto &endpoint : service == "llm" ? m_llm : m_app)
+        ran += endpoint->ran().size();
+    return ran;
+}
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/public/gateway/gatewayworld.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "childprocess.h"
+#include "endpointstandin.h"
+#include "loopback.h"
+#include "storestandin.h"
+#include <burdockhead/net/httpclientpool.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockhead::test {
+
+// A client's request and what has come of it.
+class ClientCall : private HttpCallObserver
+{
+public:
+    ClientCall(HttpClientPool &pool, const SocketAddress &gateway, const std::string &method,
+               const std::string &path, const HttpHeaders &headers, const std::string &body);
+
+    bool isOver() const { return m_end.has_value(); }
+    bool isWhole() const { return m_end == CallEnd::Complete; }
+    int status() const { return m_head.m_status; }
+    std::string header(const char *name) const;
+    const std::string &body() const { return m_body; }
+    void leave() { m_call.reset(); }
+
+private:
+    void callHead(const HttpHead &head) override { m_head = head; }
+    void callBody(std::string_view bytes) override { m_body.append(bytes); }
+    void callEnded(CallEnd end) override { m_end = end; }
+
+    HttpHead m_head;
+    std::string m_body;
+    std::optional<CallEnd> m_end;
+    std::unique_ptr<HttpCall> m_call;
+};
+
+// A running gateway between clients of the test and stand-ins of the store and of endpoints:
+// two of the service "llm" for resumable streams below /stream/, two of the service "app" for
+// /safe/ and /unsafe/. The credential "key" belongs to the workspace "w".
+class GatewayWorld
+{
+public:
+    GatewayWorld();
+    ~GatewayWorld();
+    GatewayWorld(const GatewayWorld &) = delete;
+    GatewayWorld &operator=(const GatewayWorld &) = delete;
+
+    // The configuration as JSON text; `credential` is the one that is valid.
+    static std::string configuration(int version, const std::string &credential = "key");
+
+    void startGateway();
+
+    // Starts everything and waits until the gateway is ready.
+    void start();
+
+    // Asks the gateway; a status of 0 means that it didn't answer.
+    int readiness();
+    std::string addresses();
+
+    std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
+                                     const std::string &credential = "key",
+                                     Milliseconds timeLeft = Milliseconds(3000));
+
+    // Makes the call and waits for its end.
+    std::unique_ptr<ClientCall> ask(const std::string &method, const std::string &path,
+                                    const std::string &credential = "key",
+                                    Milliseconds timeLeft = Milliseconds(3000));
+
+    void await(const std::function<bool()> &condition) { runUntil(m_loop, condition); }
+    void pass(Milliseconds span);
+
+    std::size_t ranOf(const std::string &service) const;
+
+    EventLoop m_loop;
+    StoreStandIn m_store{m_loop};
+    std::vector<std::unique_ptr<EndpointStandIn>> m_llm;
+    std::vector<std::unique_ptr<EndpointStandIn>> m_app;
+    std::unique_ptr<ChildProcess> m_gateway;
+    SocketAddress m_clients;
+
+private:
+    std::unique_ptr<ClientCall> askOwn(const SocketAddress &address, const std::string &target);
+
+    std::filesystem::path m_folder;
+    SocketAddress m_readiness;
+    SocketAddress m_directory;
+    HttpClientPool m_pool{m_loop};
+    int m_lastRequest = 0;
+};
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/standins/fleet/endpointstandin.cpp
@@ -0,0 +1,127 @@
+#include "endpointstandin.h"
+
+#include "freeport.h"
+#include <burdockhead/http/httprequest.h>
+
+#include <stdexcept>
+
+namespace burdockhead::test {
+
+namespace {
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+std::string header(const HttpHead &head, const char *name)
+{
+    return findHeader(head.m_headers, name).value_or("");
+}
+
+} // namespace
+
+EndpointStandIn::EndpointStandIn(EventLoop &loop, std::string id, std::string service)
+    : m_loop(loop)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_address(freeLoopbackAddress())
+    , m_listener(loop, [this](const auto &exchange) { handle(exchange); })
+{
+    std::string error;
+    if (!m_listener.start(m_address, error))
+        throw std::runtime_error(error);
+}
+
+std::string EndpointStandIn::entry(const std::string &state) const
+{
+    return R"({"service":")" + m_service + R"(","address":")" + m_address.toString()
+        + R"(","zone":"a","slots":4,"state":")" + state
+        + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":1})";
+}
+
+std::string EndpointStandIn::events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
+HttpHeaders EndpointStandIn::answerHeaders(const HttpExchange &exchange) const
+{
+    const std::string request =
+        m_behaviour == Misbehaviour::Foreign ? "another" : header(exchange.head(), "X-Request-Id");
+    return {{"X-Request-Id", request}, {"X-Response-Seal", "seal." + m_id + "." + request}};
+}
+
+void EndpointStandIn::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string expected = header(exchange->head(), "X-Expect-Instance");
+    if (!expected.empty() && expected != m_id) {
+        ++m_refused;
+        exchange->answer(421, {{"X-Instance-Id", m_id}}, "");
+        return;
+    }
+    if (m_behaviour == Misbehaviour::Refuse) {
+        ++m_refused;
+        exchange->answer(503, {{"X-Not-Executed", "1"}}, "");
+        return;
+    }
+    m_ran.push_back({exchange->head(), exchange->body()});
+    exchange->onClientGone([this] { ++m_clientsGone; });
+    if (m_delay.count() == 0) {
+        run(exchange);
+        return;
+    }
+    m_loop.callAt(Clock::now() + m_delay, [this, exchange] { run(exchange); });
+}
+
+void EndpointStandIn::run(const std::shared_ptr<HttpExchange> &exchange)
+{
+    switch (m_behaviour) {
+    case Misbehaviour::LoseAnswer:
+        exchange->breakOff();
+        return;
+    case Misbehaviour::Hang:
+        m_hanging.push_back(exchange);
+        return;
+    case Misbehaviour::Fail:
+        exchange->answer(500, answerHeaders(*exchange), "failed");
+        return;
+    default:
+        break;
+    }
+    if (!exchange->head().m_target.starts_with("/stream/")) {
+        exchange->answer(200, answerHeaders(*exchange), "answer of " + m_id);
+        return;
+    }
+    HttpHeaders headers = answerHeaders(*exchange);
+    headers.push_back({"Content-Type", "text/event-stream"});
+    exchange->startAnswer(200, headers);
+    const std::string last = header(exchange->head(), "Last-Event-Id");
+    stream(exchange, last.empty() ? 1 : std::stoi(last) + 1);
+}
+
+void EndpointStandIn::stream(const std::shared_ptr<HttpExchange> &exchange, int next)
+{
+    if (next > lastEvent) {
+        exchange->finishAnswer();
+        return;
+    }
+    constexpr int half = lastEvent / 2;
+    if (m_behaviour == Misbehaviour::BreakStream && next > half) {
+        exchange->sendPart(event(next).substr(0, 5));
+        m_loop.callAt(Clock::now() + Milliseconds(20), [exchange] { exchange->breakOff(); });
+        return;
+    }
+    if (m_behaviour != Misbehaviour::SkipEvent || next != half)
+        exchange->sendPart(event(next));
+    if (m_delay.count() == 0)
+        stream(exchange, next + 1);
+    else
+        m_loop.callAt(Clock::now() + m_delay,
+                      [this, exchange, next] { stream(exchange, next + 1); });
+}
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/standins/fleet/endpointstandin.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <burdockhead/net/httplistener.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockhead::test {
+
+// What an endpoint does with a request instead of answering it.
+enum class Misbehaviour {
+    None,
+    Refuse,        // 503, not run.
+    LoseAnswer,    // Runs it and closes the connection.
+    BreakStream,   // Sends half of a stream's events and a part of the next.
+    Foreign,       // Answers with the id of another request.
+    Fail,          // 500, run.
+    Hang,          // Runs it and never answers.
+    SkipEvent,     // Leaves out an event of a stream.
+};
+
+// One request as an endpoint ran it.
+struct RanRequest
+{
+    HttpHead m_head;
+    std::string m_body;
+};
+
+// One endpoint of the platform. Streams are told by a path that begins with /stream/; they
+// have events 1 to 6.
+class EndpointStandIn
+{
+public:
+    EndpointStandIn(EventLoop &loop, std::string id, std::string service);
+
+    const SocketAddress &address() const { return m_address; }
+    const std::string &id() const { return m_id; }
+
+    // Its entry for service discovery, as JSON text.
+    std::string entry(const std::string &state = "ready") const;
+
+    // Does so with the next requests.
+    void misbehave(Misbehaviour behaviour) { m_behaviour = behaviour; }
+
+    // Waits before each answer, and between events.
+    void setDelay(Milliseconds delay) { m_delay = delay; }
+
+    // The endpoint that has the address now is another one.
+    void replaceBy(const std::string &id) { m_id = id; }
+
+    const std::vector<RanRequest> &ran() const { return m_ran; }
+    std::size_t refused() const { return m_refused; }
+    std::size_t clientsGone() const { return m_clientsGone; }
+
+    // The events of a stream from the first to the last, as bytes.
+    static std::string events(int first, int last);
+
+    static constexpr int lastEvent = 6;
+
+private:
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void run(const std::shared_ptr<HttpExchange> &exchange);
+    void stream(const std::shared_ptr<HttpExchange> &exchange, int next);
+    HttpHeaders answerHeaders(const HttpExchange &exchange) const;
+
+    EventLoop &m_loop;
+    std::string m_id;
+    const std::string m_service;
+    SocketAddress m_address;
+    HttpListener m_listener;
+    Misbehaviour m_behaviour = Misbehaviour::None;
+    Milliseconds m_delay{0};
+    std::vector<RanRequest> m_ran;
+    std::vector<std::shared_ptr<HttpExchange>> m_hanging;
+    std::size_t m_refused = 0;
+    std::size_t m_clientsGone = 0;
+};
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/standins/fleet/storestandin.cpp
@@ -0,0 +1,151 @@
+#include "storestandin.h"
+
+#include "freeport.h"
+#include <burdockhead/http/httprequest.h>
+
+#include <stdexcept>
+
+namespace burdockhead::test {
+
+namespace {
+
+constexpr const char *pathPrefix = "/-/objects/";
+
+std::string withRevision(std::uint64_t revision)
+{
+    return R"(,"asOf":)" + std::to_string(revision) + "}";
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(EventLoop &loop)
+    : m_loop(loop)
+    , m_address(freeLoopbackAddress())
+    , m_listener(loop, [this](const auto &exchange) { handle(exchange); })
+{
+    std::string error;
+    if (!m_listener.start(m_address, error))
+        throw std::runtime_error(error);
+}
+
+std::string StoreStandIn::objectJson(const std::string &kind, const std::string &name) const
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(m_revision)
+        + R"(},"spec":)" + m_objects.at(kind).at(name) + R"(,"status":null})";
+}
+
+void StoreStandIn::put(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    ++m_revision;
+    m_objects[kind][name] = spec;
+    note(kind, objectJson(kind, name), false);
+}
+
+void StoreStandIn::remove(const std::string &kind, const std::string &name)
+{
+    ++m_revision;
+    const std::string json = objectJson(kind, name);
+    m_objects[kind].erase(name);
+    note(kind, json, true);
+}
+
+void StoreStandIn::note(const std::string &kind, const std::string &json, bool isRemoved)
+{
+    m_history.push_back({m_revision, kind,
+                         std::string(R"({"removed":)") + (isRemoved ? "true" : "false")
+                             + R"(,"object":)" + json + "}"});
+    wakeWatches();
+}
+
+void StoreStandIn::wakeWatches()
+{
+    std::erase_if(m_watches, [this](const Watch &watch) { return tell(watch); });
+}
+
+void StoreStandIn::forgetHistory()
+{
+    m_forgottenUpTo = ++m_revision;
+    m_history.clear();
+    for (const Watch &watch : m_watches)
+        watch.m_exchange->breakOff();
+    m_watches.clear();
+}
+
+void StoreStandIn::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    ++m_calls;
+    if (m_refusal != 0) {
+        exchange->answer(m_refusal, {}, "");
+        return;
+    }
+    if (m_isSilent) {
+        m_watches.push_back({exchange, "", m_revision});
+        return;
+    }
+    HttpRequest request;
+    const std::string &target = exchange->head().m_target;
+    const auto question = target.find('?');
+    request.m_path = target.substr(0, question);
+    request.m_query = question == std::string::npos ? "" : target.substr(question + 1);
+    if (!request.m_path.starts_with(pathPrefix)) {
+        exchange->answer(404, {}, "");
+        return;
+    }
+    const std::string kind = request.m_path.substr(std::string(pathPrefix).size());
+    if (const auto after = request.queryValue("watch"))
+        watch(exchange, kind, std::stoull(*after),
+              Milliseconds(std::stoull(request.queryValue("waitMs").value_or("0"))));
+    else
+        list(*exchange, kind);
+}
+
+void StoreStandIn::list(HttpExchange &exchange, const std::string &kind) const
+{
+    std::string items;
+    const auto objects = m_objects.find(kind);
+    if (objects != m_objects.end()) {
+        for (const auto &[name, spec] : objects->second)
+            items += (items.empty() ? "" : ",") + objectJson(kind, name);
+    }
+    exchange.answer(200, {{"Content-Type", "application/json"}},
+                    R"({"items":[)" + items + R"(],"hasMore":false)" + withRevision(m_revision));
+}
+
+void StoreStandIn::watch(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind,
+                         std::uint64_t after, Milliseconds wait)
+{
+    const Watch watch = {exchange, kind, after};
+    if (tell(watch))
+        return;
+    m_watches.push_back(watch);
+    m_loop.callAt(Clock::now() + wait, [this, weak = std::weak_ptr(exchange), after] {
+        const auto waiting = weak.lock();
+        if (!waiting || m_isSilent)
+            return;
+        std::erase_if(m_watches,
+                      [&](const Watch &other) { return other.m_exchange == waiting; });
+        if (after < m_forgottenUpTo)
+            waiting->answer(410, {}, "");
+        else
+            waiting->answer(200, {}, R"({"events":[])" + withRevision(m_revision));
+    });
+}
+
+// Answers a watch if there is something to tell; true when it is over.
+bool StoreStandIn::tell(const Watch &watch)
+{
+    if (m_isSilent || m_isDeaf || watch.m_after < m_forgottenUpTo)
+        return false;
+    std::string events;
+    for (const Event &event : m_history) {
+        if (event.m_kind == watch.m_kind && event.m_revision > watch.m_after)
+            events += (events.empty() ? "" : ",") + event.m_json;
+    }
+    if (events.empty())
+        return false;
+    watch.m_exchange->answer(200, {{"Content-Type", "application/json"}},
+                             R"({"events":[)" + events + "]" + withRevision(m_revision));
+    return true;
+}
+
+} // namespace burdockhead::test
