--- a/src/burdockhead/gateway/calldialect.h
+++ b/src/burdockhead/gateway/calldialect.h
@@ -15,9 +15,9 @@
 // What a client's request says of itself beside method, target and body.
 struct CallFacts
 {
-    std::string m_id;                       // Empty: the request has none.
-    std::optional<Milliseconds> m_timeLeft; // How long the client waits.
-    std::string m_credential;               // Empty: none.
+    std::string m_id;                         // Empty: the request has none.
+    std::optional<Milliseconds> m_timeLeft;   // How long the client waits.
+    std::string m_credential;                 // Empty: none.
     std::optional<std::uint64_t> m_lastEvent; // A stream goes on after this event.
     std::uint32_t m_promptTokens = 0;
     std::uint32_t m_answerTokens = 0; // The client's estimate, or its maximum.
@@ -39,11 +39,11 @@
 // What an endpoint's answer says of itself.
 struct AnswerFacts
 {
-    std::string m_id;          // Of the request that it answers; empty: not said.
-    bool m_isNotRun = false;   // The endpoint did not run the request and will not.
-    bool m_isSigned = false;   // Carries the endpoint's signature.
-    bool m_isEncoded = false;  // The body is not as the endpoint made it.
-    std::string m_weights;     // Version of the model's weights; empty: not said.
+    std::string m_id;             // Of the request that it answers; empty: not said.
+    bool m_isNotRun = false;      // The endpoint did not run the request and will not.
+    bool m_isSigned = false;      // Carries the endpoint's signature.
+    bool m_isEncoded = false;     // The body is not as the endpoint made it.
+    std::string m_weights;        // Version of the model's weights; empty: not said.
     std::string m_faultyEndpoint; // Whose failure the answer reports; empty: not said.
 
     friend bool operator==(const AnswerFacts &, const AnswerFacts &) = default;
--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -19,7 +19,7 @@
 constexpr Milliseconds maxIdleOnce{500};
 constexpr Milliseconds maxIdleRepeatable{4000};
 // Bytes of an answer that is kept until it is whole.
-constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxAnswerBytes = 16777216;
 // When a client should come back if nothing better is known: about the time in which a
 // gateway takes up a configuration, or a group of ranks opens again.
 constexpr Milliseconds usualComeBack{500};
@@ -74,11 +74,7 @@
         if (const auto self = weak.lock())
             self->clientGone();
     });
-    m_timer = m_router.parts().m_loop.callAt(m_giveUpAt, [this] {
-        m_timer = 0;
-        const auto self = shared_from_this();
-        giveUp();
-    });
+    setTimer(m_giveUpAt);
     m_router.gate(m_service).retries().noteRequest(m_arrivedAt);
     enter();
 }
@@ -126,11 +122,32 @@
         }
         place -= service.m_weight;
     }
-    m_giveUpAt = m_arrivedAt
-        + std::min(m_route.m_timeout, m_facts.m_timeLeft.value_or(m_route.m_timeout));
+    m_giveUpAt =
+        m_arrivedAt + std::min(m_route.m_timeout, m_facts.m_timeLeft.value_or(m_route.m_timeout));
     return true;
 }
 
+void CallFlow::setTimer(TimePoint deadline)
+{
+    m_router.parts().m_loop.cancel(m_timer);
+    m_timer = m_router.parts().m_loop.callAt(deadline, [this] {
+        m_timer = 0;
+        const auto self = shared_from_this();
+        giveUp();
+    });
+}
+
+// When a request that waits has to be sent to be of use: a client leaves a stream that brings
+// no event for some time.
+TimePoint CallFlow::startBy() const
+{
+    if (m_route.m_patience.count() == 0)
+        return m_giveUpAt;
+    const TimePoint lastEvent = m_lastEventAt == TimePoint() ? m_arrivedAt : m_lastEventAt;
+    return std::min(m_giveUpAt,
+                    lastEvent + m_route.m_patience - m_router.gate(m_service).usualFirstByte());
+}
+
 // Sends the request, or lets it wait if that can still lead to an answer.
 void CallFlow::enter()
 {
@@ -146,7 +163,7 @@
     if (gate.line().size() == 0 && gate.mayStart(now) && dispatch())
         return;
     const Duration wait = gate.expectedWait(gate.line().ahead(m_waiter, now));
-    if (now + wait + gate.usualTime() > m_giveUpAt && !m_mayHaveRun) {
+    if (now + wait > std::min(startBy(), m_giveUpAt - gate.usualTime()) && !m_mayHaveRun) {
         refuse(ErrorKind::Overloaded, comeBackTime());
         return;
     }
@@ -159,6 +176,7 @@
     m_waiter.m_onTimeUntil =
         m_arrivedAt + m_route.m_objective - m_router.gate(m_service).usualFirstByte();
     m_router.wait(m_service, m_waiter);
+    setTimer(startBy());
 }
 
 bool CallFlow::dispatch()
@@ -172,11 +190,12 @@
         endpoint = parts.m_endpoints.choose({m_service, arrivalLimit, {}}, now);
     if (!endpoint)
         return false;
+    if (m_isWaiting)
+        setTimer(m_giveUpAt);
     m_isWaiting = false;
     m_endpoint = std::move(endpoint);
     m_lastEndpoint = m_endpoint->m_entry.m_name;
     m_sentAt = now;
-    m_lastEventAt = {};
     m_answerHead.reset();
     m_answerFacts = {};
     m_answerBody.clear();
@@ -186,8 +205,7 @@
     m_router.gate(m_service).noteStarted();
 
     const HttpHead &request = m_exchange->head();
-    const Milliseconds left =
-        std::max(inMilliseconds(m_giveUpAt - now), Milliseconds(1));
+    const Milliseconds left = std::max(inMilliseconds(m_giveUpAt - now), Milliseconds(1));
     HttpHeaders headers = parts.m_dialect.endpointHeaders(
         request, {m_lastEndpoint, m_workspace, left, m_events.lastEvent()});
     if (!m_exchange->body().empty() || request.m_method != "GET")
@@ -205,7 +223,7 @@
                                {"config", std::to_string(m_configurationVersion)},
                                {"left_ms", text(left)},
                                {"elapsed_ms", text(elapsed())}});
-    m_call = parts.m_client.call(m_endpoint->m_entry.m_address, std::move(bytes), options, *this);
+    m_call = parts.m_client.call(m_endpoint->m_entry.m_address, bytes, options, *this);
     return true;
 }
 
@@ -231,20 +249,17 @@
         return;
     }
     m_answerHead = head;
-    m_isStreaming = m_route.m_kind == RouteKind::Stream && head.m_status == 200
-        && m_answerFacts.m_isSigned;
+    m_isStreaming =
+        m_route.m_kind == RouteKind::Stream && head.m_status == 200 && m_answerFacts.m_isSigned;
     if (!m_isStreaming)
         return;
-    if (!m_streamHead) {
+    if (!m_exchange->hasStarted()) {
         m_streamHead = head;
         m_streamWeights = m_answerFacts.m_weights;
-    } else if (m_exchange->hasStarted() && m_streamWeights != m_answerFacts.m_weights) {
+    } else if (m_streamWeights != m_answerFacts.m_weights) {
         m_call.reset();
         releaseEndpoint(false);
         fail(ErrorKind::StreamBroken, "other weights");
-    } else if (!m_exchange->hasStarted()) {
-        m_streamHead = head;
-        m_streamWeights = m_answerFacts.m_weights;
     }
 }
 
@@ -269,7 +284,7 @@
 {
     const TimePoint now = Clock::now();
     ServiceGate &gate = m_router.gate(m_service);
-    if (m_lastEventAt == TimePoint())
+    if (m_lastEventAt < m_sentAt)
         gate.noteFirstByte(now - m_sentAt);
     else
         gate.noteEventPause(now - m_lastEventAt, m_route.m_longestPause, now);
@@ -397,7 +412,8 @@
     const TimePoint now = Clock::now();
     const GatewayParts &parts = m_router.parts();
     m_tried.push_back(m_lastEndpoint);
-    const bool mayTry = m_attempts < m_route.m_maxAttempts && now < m_giveUpAt
+    const bool mayTry =
+        m_attempts < m_route.m_maxAttempts && now < m_giveUpAt
         && m_router.gate(m_service).retries().take(parts.m_peers.fleetSize(now), now);
     parts.m_lines.add(mayTry ? "retried" : "not_retried",
                       {{"request", m_facts.m_id},
@@ -447,7 +463,7 @@
         releaseEndpoint(false);
         fail(ErrorKind::DeadlineExceeded, "deadline");
     } else {
-        refuse(ErrorKind::DeadlineTooShort, shortestComeBack);
+        refuse(ErrorKind::Overloaded, comeBackTime());
     }
 }
 
@@ -456,8 +472,8 @@
 {
     ServiceGate &gate = m_router.gate(m_service);
     const Milliseconds wait = inMilliseconds(gate.expectedWait(gate.line().size()));
-    const Milliseconds base = std::clamp(std::max(wait, usualComeBack), shortestComeBack,
-                                         longestComeBack);
+    const Milliseconds base =
+        std::clamp(std::max(wait, usualComeBack), shortestComeBack, longestComeBack);
     // Spread over half of the time, so that those refused together don't return together.
     return base + base * static_cast<int>(m_router.random()() % 100) / 200;
 }
--- a/src/burdockhead/gateway/callflow.h
+++ b/src/burdockhead/gateway/callflow.h
@@ -44,6 +44,8 @@
     void waitInLine();
     void clientGone();
     void giveUp();
+    void setTimer(TimePoint deadline);
+    TimePoint startBy() const;
     void releaseEndpoint(bool isServed);
 
     void answerComplete();
@@ -80,9 +82,9 @@
     KnownEndpointPointer m_endpoint; // Set while the request is at it.
     EndpointName m_lastEndpoint;
     TimePoint m_sentAt;
-    TimePoint m_lastEventAt; // When events last came in the present attempt; zero before.
+    TimePoint m_lastEventAt; // When events last came; zero before the first.
     std::vector<EndpointName> m_tried;
-    unsigned m_attempts = 0;       // Requests that may have reached an endpoint.
+    unsigned m_attempts = 0; // Requests that may have reached an endpoint.
     unsigned m_failedConnects = 0;
     bool m_mayHaveRun = false;
     bool m_isWaiting = false;
@@ -91,7 +93,7 @@
     std::optional<HttpHead> m_answerHead;
     AnswerFacts m_answerFacts;
     std::string m_answerBody;
-    bool m_isStreaming = false;   // The present answer is a stream of events.
+    bool m_isStreaming = false;           // The present answer is a stream of events.
     std::optional<HttpHead> m_streamHead; // Of the first answer to the stream.
     std::string m_streamWeights;
     EventSplitter m_events{std::nullopt};
--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -13,7 +13,7 @@
 double score(const KnownEndpoint &endpoint)
 {
     const double load = endpoint.m_inFlight + endpoint.m_inFlightElsewhere
-        + failureHandicap * endpoint.m_breaker.failureShare();
+                        + failureHandicap * endpoint.m_breaker.failureShare();
     return load / std::max(1U, endpoint.m_entry.m_slots);
 }
 
@@ -32,8 +32,8 @@
 {
     KnownEndpointPointer &known = m_endpoints[entry.m_name];
     const bool isNew = !known || known->m_entry.m_startedAt != entry.m_startedAt
-        || known->m_entry.m_address != entry.m_address
-        || known->m_entry.m_service != entry.m_service;
+                       || known->m_entry.m_address != entry.m_address
+                       || known->m_entry.m_service != entry.m_service;
     if (isNew) {
         if (known)
             erase(m_byService[known->m_entry.m_service], known);
@@ -79,7 +79,7 @@
 bool EndpointTable::isUsable(const KnownEndpoint &endpoint, TimePoint now) const
 {
     return !endpoint.m_entry.m_isLeaving && now < endpoint.m_usableUntil
-        && !m_out.contains(endpoint.m_entry.m_dataCentre);
+           && !m_out.contains(endpoint.m_entry.m_dataCentre);
 }
 
 KnownEndpointPointer EndpointTable::choose(const EndpointRequest &request, TimePoint now)
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -20,8 +20,8 @@
     EndpointBreaker m_breaker;
     ArrivalWindow m_lastSecond{Milliseconds(1000)};
     unsigned m_inFlight = 0;
-    unsigned m_inFlightElsewhere = 0; // As other gateways last told.
-    TimePoint m_lastAnswerAt;         // When bytes of an answer last came from it.
+    unsigned m_inFlightElsewhere = 0;           // As other gateways last told.
+    TimePoint m_lastAnswerAt;                   // When bytes of an answer last came from it.
     TimePoint m_usableUntil = TimePoint::max(); // An entry that is gone may be on its way back.
 };
 
--- a/src/burdockhead/gateway/gatewayconfiguration.h
+++ b/src/burdockhead/gateway/gatewayconfiguration.h
@@ -17,10 +17,10 @@
 struct ExpertShape
 {
     std::uint32_t m_layers = 0;
-    std::uint32_t m_experts = 0;        // Of each layer.
-    std::uint32_t m_placesPerRank = 0;  // Experts of a layer that a rank can hold.
-    std::uint32_t m_newPerChange = 0;   // Experts of a layer that a rank can load for a change.
-    double m_loadMilliseconds = 0;      // For a rank to load one expert.
+    std::uint32_t m_experts = 0;       // Of each layer.
+    std::uint32_t m_placesPerRank = 0; // Experts of a layer that a rank can hold.
+    std::uint32_t m_newPerChange = 0;  // Experts of a layer that a rank can load for a change.
+    double m_loadMilliseconds = 0;     // For a rank to load one expert.
 
     friend bool operator==(const ExpertShape &, const ExpertShape &) = default;
 };
@@ -30,9 +30,9 @@
 {
     GroupName m_name;
     std::string m_healthPath;
-    std::uint32_t m_maxConnections = 0; // To each endpoint, from all gateways together.
-    double m_coldPerSecond = 0;         // Requests that a cold endpoint bears; 0: any number.
-    std::uint32_t m_batch = 0;          // Requests that an engine runs at once; 0: no engine.
+    std::uint32_t m_maxConnections = 0;   // To each endpoint, from all gateways together.
+    double m_coldPerSecond = 0;           // Requests that a cold endpoint bears; 0: any number.
+    std::uint32_t m_batch = 0;            // Requests that an engine runs at once; 0: no engine.
     std::optional<ExpertShape> m_experts; // Of an engine whose ranks share experts.
 
     friend bool operator==(const GatewayService &, const GatewayService &) = default;
@@ -77,8 +77,8 @@
     friend bool operator==(const GatewayConfiguration &left, const GatewayConfiguration &right)
     {
         return left.m_version == right.m_version && left.m_routes == right.m_routes
-            && left.m_services == right.m_services && left.m_workspaces == right.m_workspaces
-            && left.m_limits == right.m_limits;
+               && left.m_services == right.m_services && left.m_workspaces == right.m_workspaces
+               && left.m_limits == right.m_limits;
     }
 
 private:
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -211,12 +211,13 @@
 void GatewayProcess::listEndpoints(const std::vector<StoreChange> &changes)
 {
     std::vector<StoreChange> all = changes;
-    for (const auto &[name, endpoint] : m_endpoints.endpoints()) {
+    for (const auto &item : m_endpoints.endpoints()) {
+        const std::string &name = item.first.text();
         const bool isListed =
             std::any_of(changes.begin(), changes.end(),
-                        [&](const StoreChange &change) { return change.m_name == name.text(); });
+                        [&](const StoreChange &change) { return change.m_name == name; });
         if (!isListed)
-            all.push_back({name.text(), true, {}});
+            all.push_back({name, true, {}});
     }
     takeEndpoints(all);
 }
@@ -255,8 +256,7 @@
         && m_endpointFollower.isListed() && m_dataCentreFollower.isListed()) {
         m_peers.setState(PeerState::Ready);
         m_peerLink.tellAll();
-        m_lines.add("ready",
-                    {{"config", std::to_string(m_router.configuration()->version())}});
+        m_lines.add("ready", {{"config", std::to_string(m_router.configuration()->version())}});
     }
 }
 
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -44,7 +44,8 @@
     // A seed now and then, so that parts of the fleet that lost each other meet again.
     if (!m_seeds.empty() && (targets.size() < fanout || m_random() % 8 == 0)) {
         const SocketAddress &seed = m_seeds[m_random() % m_seeds.size()];
-        if (seed != m_own.m_peers && std::find(targets.begin(), targets.end(), seed) == targets.end())
+        if (seed != m_own.m_peers
+            && std::find(targets.begin(), targets.end(), seed) == targets.end())
             targets.push_back(seed);
     }
     return targets;
--- a/src/burdockhead/gateway/retryallowance.cpp
+++ b/src/burdockhead/gateway/retryallowance.cpp
@@ -12,7 +12,8 @@
 
 bool RetryAllowance::take(std::size_t fleetSize, TimePoint now)
 {
-    const double earned = m_options.m_ratio * static_cast<double>(m_requests.count(now))
+    const double earned =
+        m_options.m_ratio * static_cast<double>(m_requests.count(now))
         + m_options.m_burst / static_cast<double>(std::max<std::size_t>(fleetSize, 1));
     if (static_cast<double>(m_taken.count(now) + 1) > earned)
         return false;
--- a/src/burdockhead/gateway/servicegate.cpp
+++ b/src/burdockhead/gateway/servicegate.cpp
@@ -42,7 +42,8 @@
 {
     if (longest.count() <= 0)
         return;
-    const double part = std::chrono::duration<double>(pause) / std::chrono::duration<double>(longest);
+    const double part =
+        std::chrono::duration<double>(pause) / std::chrono::duration<double>(longest);
     m_eventPause += (part - m_eventPause) * weightOfOneEvent;
     m_eventPauseAt = now;
 }
--- a/src/burdockhead/gateway/storedialect.h
+++ b/src/burdockhead/gateway/storedialect.h
@@ -59,8 +59,7 @@
 
     // The answers to them; none when they can't be read.
     virtual std::optional<StorePage> readList(StoreKind kind, const std::string &body) const = 0;
-    virtual std::optional<StorePage> readChanges(StoreKind kind,
-                                                 const std::string &body) const = 0;
+    virtual std::optional<StorePage> readChanges(StoreKind kind, const std::string &body) const = 0;
 
     // The status of an answer that says that changes after the revision are no longer known.
     virtual int historyGoneStatus() const = 0;
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -11,6 +11,8 @@
 // hangs with the connection alive is noticed within this time and the margin.
 constexpr Milliseconds watchTime{4000};
 constexpr Milliseconds watchMargin{700};
+// Between a change and the next watch: changes come in bursts, and one call takes several.
+constexpr Milliseconds burstPause{300};
 // How long a list may take; the store answers in milliseconds, at worst some hundred.
 constexpr Milliseconds listTimeout{1500};
 constexpr Milliseconds connectTimeout{500};
@@ -64,8 +66,8 @@
 {
     const TimePoint now = Clock::now();
     const std::string target = m_isWatching
-        ? m_parts.m_dialect.watchTarget(m_kind, m_revision, watchTime)
-        : m_parts.m_dialect.listTarget(m_kind, m_listedUpTo);
+                                   ? m_parts.m_dialect.watchTarget(m_kind, m_revision, watchTime)
+                                   : m_parts.m_dialect.listTarget(m_kind, m_listedUpTo);
     m_status = 0;
     m_body.clear();
     m_parts.m_metrics
@@ -73,14 +75,13 @@
                  {{"call", m_isWatching ? "watch" : "list"}, {"collection", name()}})
         .add();
     m_call = m_parts.m_client.call(
-        m_parts.m_store,
-        requestHead("GET", target, {{"Host", m_parts.m_store.toString()}}),
+        m_parts.m_store, requestHead("GET", target, {{"Host", m_parts.m_store.toString()}}),
         {now + connectTimeout, maxIdle, false}, *this);
-    m_timer = m_parts.m_loop.callAt(now + (m_isWatching ? watchTime + watchMargin : listTimeout),
-                                    [this] {
-                                        m_timer = 0;
-                                        failed("timeout");
-                                    });
+    m_timer =
+        m_parts.m_loop.callAt(now + (m_isWatching ? watchTime + watchMargin : listTimeout), [this] {
+            m_timer = 0;
+            failed("timeout");
+        });
 }
 
 void StoreFollower::callHead(const HttpHead &head)
@@ -106,8 +107,8 @@
 void StoreFollower::answered()
 {
     if (m_status == m_parts.m_dialect.historyGoneStatus() && m_isWatching) {
-        m_parts.m_lines.add("store_history_gone", {{"collection", name()},
-                                                   {"revision", std::to_string(m_revision)}});
+        m_parts.m_lines.add("store_history_gone",
+                            {{"collection", name()}, {"revision", std::to_string(m_revision)}});
         m_isWatching = false;
         m_listedUpTo.clear();
         ask();
@@ -126,12 +127,19 @@
     succeeded();
     if (!m_isWatching) {
         takeList(*page);
-    } else {
-        m_revision = std::max(m_revision, page->m_revision);
-        if (!page->m_changes.empty())
-            m_handlers.m_changed(page->m_changes);
+        ask();
+        return;
     }
-    ask();
+    m_revision = std::max(m_revision, page->m_revision);
+    if (page->m_changes.empty()) {
+        ask();
+        return;
+    }
+    m_handlers.m_changed(page->m_changes);
+    m_timer = m_parts.m_loop.callAt(Clock::now() + burstPause, [this] {
+        m_timer = 0;
+        ask();
+    });
 }
 
 void StoreFollower::takeList(const StorePage &page)
@@ -173,9 +181,9 @@
     m_listedUpTo.clear();
     if (m_failures++ == 0) {
         m_lostAt = Clock::now();
-        m_parts.m_lines.add("store_lost", {{"collection", name()},
-                                           {"reason", reason},
-                                           {"revision", std::to_string(m_revision)}});
+        m_parts.m_lines.add(
+            "store_lost",
+            {{"collection", name()}, {"reason", reason}, {"revision", std::to_string(m_revision)}});
     }
     const Milliseconds pause =
         std::min(firstPause * (1U << std::min(m_failures - 1, 5U)), longestPause);
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -25,8 +25,8 @@
 };
 
 // Follows one collection of the store: lists it, then watches for changes, and lists again
-// when the history is gone or a call has failed. Calls that fail are repeated with growing pauses, so that an
-// outage costs few calls.
+// when the history is gone or a call has failed. Calls that fail are repeated with growing pauses,
+// so that an outage costs few calls.
 class StoreFollower : private HttpCallObserver
 {
 public:
--- a/src/burdockhead/net/eventloop.cpp
+++ b/src/burdockhead/net/eventloop.cpp
@@ -125,8 +125,7 @@
 
 void EventLoop::onSignal(int signalNumber, std::function<void()> action)
 {
-    auto handler =
-        std::make_unique<SignalHandler>(m_d->m_context, signalNumber, std::move(action));
+    auto handler = std::make_unique<SignalHandler>(m_d->m_context, signalNumber, std::move(action));
     m_d->waitForSignal(*handler);
     m_d->m_signalHandlers.push_back(std::move(handler));
 }
--- a/src/burdockhead/net/httpclientpool.cpp
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -36,8 +36,7 @@
     ~ClientConnection() { m_loop.cancel(m_timer); }
 
     void open(TimePoint connectBy);
-    std::uint64_t begin(std::string_view request, bool hasNoAnswerBody,
-                        HttpCallObserver &observer);
+    std::uint64_t begin(std::string_view request, bool hasNoAnswerBody, HttpCallObserver &observer);
     void cancel(std::uint64_t callNumber);
     void close();
 
@@ -282,7 +281,7 @@
 
 HttpClientPool::~HttpClientPool() = default;
 
-std::unique_ptr<HttpCall> HttpClientPool::call(const SocketAddress &address, std::string request,
+std::unique_ptr<HttpCall> HttpClientPool::call(const SocketAddress &address, const std::string &request,
                                                const HttpCallOptions &options,
                                                HttpCallObserver &observer)
 {
--- a/src/burdockhead/net/httpclientpool.h
+++ b/src/burdockhead/net/httpclientpool.h
@@ -34,8 +34,8 @@
 // How a call is made.
 struct HttpCallOptions
 {
-    TimePoint m_connectBy;      // When a connection that isn't made yet is given up.
-    Milliseconds m_maxIdle{0};  // A kept connection that was idle for longer isn't used.
+    TimePoint m_connectBy;          // When a connection that isn't made yet is given up.
+    Milliseconds m_maxIdle{0};      // A kept connection that was idle for longer isn't used.
     bool m_hasNoAnswerBody = false; // The request is a HEAD.
 };
 
@@ -59,7 +59,7 @@
     HttpClientPool &operator=(const HttpClientPool &) = delete;
 
     // Sends a request given as its bytes. The observer hears nothing before this returns.
-    std::unique_ptr<HttpCall> call(const SocketAddress &address, std::string request,
+    std::unique_ptr<HttpCall> call(const SocketAddress &address, const std::string &request,
                                    const HttpCallOptions &options, HttpCallObserver &observer);
 
     // Closes the idle connections to an address.
--- a/src/burdockhead/net/httpmessageparser.cpp
+++ b/src/burdockhead/net/httpmessageparser.cpp
@@ -1,8 +1,7 @@
 #include <burdockhead/net/httpmessageparser.h>
 
-#include <http_parser.h>
-
 #include <algorithm>
+#include <http_parser.h>
 #include <limits>
 
 namespace burdockhead {
@@ -69,7 +68,7 @@
     if (parser->content_length != noContentLength && !isChunked)
         m_head.m_contentLength = parser->content_length;
     m_head.m_endsWithConnection = m_type == HttpMessageType::Response && !m_hasNoBody && !isChunked
-        && !m_head.m_contentLength && mayHaveBody(parser->status_code);
+                                  && !m_head.m_contentLength && mayHaveBody(parser->status_code);
     m_sink.messageHead(std::move(m_head));
     return m_hasNoBody ? 1 : 0;
 }
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 // Bytes of further requests that are kept while one is in work.
-constexpr std::size_t maxPendingBytes = 256 * 1024;
+constexpr std::size_t maxPendingBytes = 262144;
 // Bytes of an answer that may wait for a client that doesn't read.
-constexpr std::size_t maxQueuedBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxQueuedBytes = 4194304;
 // How long a closing connection waits for the client to close too, so that a reset doesn't
 // destroy the last answer; several round trips of a slow link.
 constexpr Milliseconds lingerTime{1000};
@@ -138,8 +138,7 @@
 
 bool HttpServerConnection::willClose() const
 {
-    return m_shared.m_closesAfterAnswers
-        || (m_exchange && !m_exchange->head().m_keepsConnection);
+    return m_shared.m_closesAfterAnswers || (m_exchange && !m_exchange->head().m_keepsConnection);
 }
 
 void HttpServerConnection::write(std::string_view bytes)
--- a/src/burdockhead/net/httpwriting.cpp
+++ b/src/burdockhead/net/httpwriting.cpp
@@ -85,8 +85,7 @@
 
 bool isSameHeaderName(std::string_view left, std::string_view right)
 {
-    return left.size() == right.size()
-        && strncasecmp(left.data(), right.data(), left.size()) == 0;
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
 bool isConnectionHeader(std::string_view name, const HttpHeaders &headers)
--- a/src/burdockhead/net/tcpstream.cpp
+++ b/src/burdockhead/net/tcpstream.cpp
@@ -2,11 +2,11 @@
 
 #include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
-
-#include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
+
 namespace burdockhead {
 
 namespace {
--- a/src/burdockhead/net/tcpstream.h
+++ b/src/burdockhead/net/tcpstream.h
@@ -42,8 +42,7 @@
                                               TcpStreamOwner &owner);
 
     // Takes over an accepted socket, given by its descriptor, and begins to read.
-    static std::shared_ptr<TcpStream> adopt(EventLoop &loop, int descriptor,
-                                            TcpStreamOwner &owner);
+    static std::shared_ptr<TcpStream> adopt(EventLoop &loop, int descriptor, TcpStreamOwner &owner);
 
     ~TcpStream();
     TcpStream(const TcpStream &) = delete;
--- a/src/burdockhead/observe/linesink.h
+++ b/src/burdockhead/observe/linesink.h
@@ -23,7 +23,7 @@
 public:
     struct Options
     {
-        std::size_t m_maxBufferedBytes = 256 * 1024; // What a reader that stands still may cost.
+        std::size_t m_maxBufferedBytes = 262144; // What a reader that stands still may cost.
         std::size_t m_linesPerSecond = 200;          // For each event.
     };
 
--- a/src/burdockhead/observe/metricdescription.cpp
+++ b/src/burdockhead/observe/metricdescription.cpp
@@ -71,7 +71,8 @@
         {"burdockhead_gateway_store_calls_total", "counter", "call, collection",
          "Calls to the platform's store, by \"list\" or \"watch\" and by collection."},
         {"burdockhead_gateway_lines_dropped", "gauge", "",
-         "Log lines that were left out since the start, over their budget or for want of a reader."},
+         "Log lines that were left out since the start, over their budget or for want of a "
+         "reader."},
         {"burdockhead_map_changes_total", "counter", "",
          "Expert maps that the agent beside rank 0 has brought into use."},
     };
--- a/src/burdockhead/rankagent/expertdemand.cpp
+++ b/src/burdockhead/rankagent/expertdemand.cpp
@@ -88,7 +88,7 @@
 bool ExpertDemand::isTelling() const
 {
     return m_layers > 0
-        && total(m_loads.m_layers.front()) >= leastPerExpert * static_cast<double>(m_experts);
+           && total(m_loads.m_layers.front()) >= leastPerExpert * static_cast<double>(m_experts);
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -32,7 +32,7 @@
 {
     std::vector<PlacementMove> moves;
     const double mean = std::accumulate(loads.begin(), loads.end(), 0.0)
-        / static_cast<double>(limits.m_shape.m_ranks);
+                        / static_cast<double>(limits.m_shape.m_ranks);
     LayerBalancer balancer(current, loads, limits.m_shape);
     while (moves.size() < maxMoves && balancer.heaviest() > (1 + limits.m_tolerance) * mean) {
         const auto move = balancer.improve();
--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -60,12 +60,11 @@
 {
     for (const RankView &view : views) {
         if (view.m_armed != armed)
-            result.m_orders.push_back({view.m_rank, RankOrderType::Arm, view.m_epoch,
-                                       armed.m_version, armed.m_step});
+            result.m_orders.push_back(
+                {view.m_rank, RankOrderType::Arm, view.m_epoch, armed.m_version, armed.m_step});
     }
     if (result.m_orders.empty())
-        result.m_orders.push_back(
-            {0, RankOrderType::Go, views.front().m_epoch, 0, armed.m_step});
+        result.m_orders.push_back({0, RankOrderType::Go, views.front().m_epoch, 0, armed.m_step});
 }
 
 } // namespace
@@ -82,15 +81,13 @@
 }
 
 // The version above the one in use that all ranks have prepared and that may be armed.
-std::optional<std::uint64_t>
-MapRollout::commonPrepared(const std::vector<RankView> &views) const
+std::optional<std::uint64_t> MapRollout::commonPrepared(const std::vector<RankView> &views) const
 {
     const auto first = views.front().m_prepared;
     if (!first || *first <= views.front().m_map || *first <= m_highestDisarmed)
         return std::nullopt;
-    const bool isCommon = std::all_of(views.begin(), views.end(), [&](const RankView &view) {
-        return view.m_prepared == first;
-    });
+    const bool isCommon = std::all_of(
+        views.begin(), views.end(), [&](const RankView &view) { return view.m_prepared == first; });
     return isCommon ? first : std::nullopt;
 }
 
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -130,9 +130,8 @@
 {
     askEngine("GET", m_dialects.m_engine.viewTarget(), "",
               [this, then = std::move(then)](const AgentCall &call) {
-                  m_view = call.status() == statusOk
-                      ? m_dialects.m_engine.readView(call.body())
-                      : std::optional<RankView>();
+                  m_view = call.status() == statusOk ? m_dialects.m_engine.readView(call.body())
+                                                     : std::optional<RankView>();
                   then();
               });
 }
@@ -161,8 +160,7 @@
     askEngine("GET", m_dialects.m_engine.expertsTarget(), "",
               [this, then = std::move(then)](const AgentCall &call) {
                   if (call.status() == statusOk)
-                      m_experts =
-                          m_dialects.m_engine.readExperts(call.body()).value_or(m_experts);
+                      m_experts = m_dialects.m_engine.readExperts(call.body()).value_or(m_experts);
                   then();
               });
 }
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -107,8 +107,7 @@
     const std::vector<SocketAddress> &asked = m_isFullRound ? m_agents : counted;
     m_unanswered = asked.size();
     for (const SocketAddress &agent : asked) {
-        const bool isCounted =
-            std::find(counted.begin(), counted.end(), agent) != counted.end();
+        const bool isCounted = std::find(counted.begin(), counted.end(), agent) != counted.end();
         m_asking.push_back(std::make_unique<AgentCall>(
             m_parts.m_loop, m_parts.m_client, agent, "GET",
             isCounted ? rankCountsTarget : rankStatusTarget, "", now + statusTimeout,
@@ -255,8 +254,7 @@
     MapChangeLimits limits = {{views.size(), m_shape->m_placesPerRank}, m_shape->m_newPerChange};
     const double loads = loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
     limits.m_newPerRankInAll = std::max(leastLoads, static_cast<std::size_t>(loads));
-    auto planned =
-        isForced ? current : planMapChange(*current, m_demand->loads(), limits);
+    auto planned = isForced ? current : planMapChange(*current, m_demand->loads(), limits);
     if (!planned)
         return;
     // From the clock, so that a version is never used twice for different maps: an order to
--- a/src/burdockhead/rankagent/rankview.h
+++ b/src/burdockhead/rankagent/rankview.h
@@ -21,11 +21,11 @@
     std::string m_group;
     std::uint64_t m_epoch = 0; // Grows each time that the group forms.
     std::uint32_t m_rank = 0;
-    std::uint32_t m_ranks = 0; // Ranks of the group.
-    bool m_isOpen = false;     // The group runs.
-    std::uint64_t m_startedAt = 0; // Of the rank's process, in milliseconds since 1970.
-    std::uint64_t m_step = 0;      // The last one that was begun.
-    std::uint64_t m_map = 0;       // The version in use.
+    std::uint32_t m_ranks = 0;               // Ranks of the group.
+    bool m_isOpen = false;                   // The group runs.
+    std::uint64_t m_startedAt = 0;           // Of the rank's process, in milliseconds since 1970.
+    std::uint64_t m_step = 0;                // The last one that was begun.
+    std::uint64_t m_map = 0;                 // The version in use.
     std::optional<std::uint64_t> m_prepared; // A version whose experts are all loaded.
     std::optional<ArmedMap> m_armed;
     std::optional<std::uint64_t> m_held; // The step before which the group waits.
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -176,20 +176,19 @@
 SectionBinding<GatewaySettings> gatewayListenSection()
 {
     using S = GatewaySettings;
-    return {"listen",
-            true,
-            {bindKey<S>("clients", &S::m_clients, allowedAddress, "Requests from clients")
-                 .required(),
-             bindKey<S>("readiness", &S::m_readiness, allowedAddress,
-                        "Tells whether the gateway takes requests")
-                 .required(),
-             bindKey<S>("directory", &S::m_directory, allowedAddress,
-                        "Tells clients which gateways to use")
-                 .required(),
-             bindKey<S>("peers", &S::m_peers, allowedAddress, "Datagrams of other gateways")
-                 .required(),
-             bindKey<S>("metrics", &S::m_metrics, allowedAddress, "Metrics in Prometheus's text")
-                 .required()}};
+    return {
+        "listen",
+        true,
+        {bindKey<S>("clients", &S::m_clients, allowedAddress, "Requests from clients").required(),
+         bindKey<S>("readiness", &S::m_readiness, allowedAddress,
+                    "Tells whether the gateway takes requests")
+             .required(),
+         bindKey<S>("directory", &S::m_directory, allowedAddress,
+                    "Tells clients which gateways to use")
+             .required(),
+         bindKey<S>("peers", &S::m_peers, allowedAddress, "Datagrams of other gateways").required(),
+         bindKey<S>("metrics", &S::m_metrics, allowedAddress, "Metrics in Prometheus's text")
+             .required()}};
 }
 
 SectionBinding<GatewaySettings> boundsSection()
@@ -218,11 +217,11 @@
 template <typename Settings>
 SectionBinding<Settings> storeSection()
 {
-    return {"store",
-            true,
-            {bindKey<Settings>("address", &Settings::m_store, allowedAddress,
-                               "The platform's store")
-                 .required()}};
+    return {
+        "store",
+        true,
+        {bindKey<Settings>("address", &Settings::m_store, allowedAddress, "The platform's store")
+             .required()}};
 }
 
 const SectionBindings<RankAgentSettings> &sectionBindings(const RankAgentSettings *)
--- a/src/burdockhead/settings/settingstext.h
+++ b/src/burdockhead/settings/settingstext.h
@@ -19,14 +19,14 @@
 parseAgentSettings(const std::string &text, const std::string &fileName, Diagnostics &diagnostics);
 
 // Reads a gateway's settings file, in the same way.
-std::optional<GatewaySettings>
-parseGatewaySettings(const std::string &text, const std::string &fileName,
-                     Diagnostics &diagnostics);
+std::optional<GatewaySettings> parseGatewaySettings(const std::string &text,
+                                                    const std::string &fileName,
+                                                    Diagnostics &diagnostics);
 
 // Reads the settings file of a rank's agent, in the same way.
-std::optional<RankAgentSettings>
-parseRankAgentSettings(const std::string &text, const std::string &fileName,
-                       Diagnostics &diagnostics);
+std::optional<RankAgentSettings> parseRankAgentSettings(const std::string &text,
+                                                        const std::string &fileName,
+                                                        Diagnostics &diagnostics);
 
 // The settings as INI text that reads back.
 std::string printSettings(const EntrySettings &settings);
--- a/src/burdockhead/settings/valuetext.cpp
+++ b/src/burdockhead/settings/valuetext.cpp
@@ -162,8 +162,8 @@
 std::string printFraction(double value)
 {
     std::array<char, 32> text{};
-    const auto result = std::to_chars(text.data(), text.data() + text.size(), value,
-                                      std::chars_format::fixed);
+    const auto result =
+        std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
     return {text.data(), result.ptr};
 }
 
--- a/tests/internal/gateway/test_arrivalwindow.cpp
+++ b/tests/internal/gateway/test_arrivalwindow.cpp
@@ -9,7 +9,7 @@
 
 BOOST_AUTO_TEST_CASE(no_span_of_a_second_holds_more_than_the_limit)
 {
-    checkProperty("arrivals stay within the limit in any span", [](std::vector<unsigned> gaps) {
+    checkProperty("arrivals stay within the limit in any span", [](const std::vector<unsigned> &gaps) {
         constexpr std::size_t limit = 6;
         ArrivalWindow window{Milliseconds(1000)};
         TimePoint now{};
--- a/tests/internal/gateway/test_eventsplitter.cpp
+++ b/tests/internal/gateway/test_eventsplitter.cpp
@@ -24,7 +24,7 @@
 
 BOOST_AUTO_TEST_CASE(events_come_out_whole_wherever_the_bytes_are_cut)
 {
-    checkProperty("a stream in any pieces gives the same bytes", [](std::vector<unsigned> cuts) {
+    checkProperty("a stream in any pieces gives the same bytes", [](const std::vector<unsigned> &cuts) {
         const std::string stream = events(1, 12);
         EventSplitter splitter{std::nullopt};
         std::string out;
--- a/tests/internal/gateway/test_gatewayconfiguration.cpp
+++ b/tests/internal/gateway/test_gatewayconfiguration.cpp
@@ -15,11 +15,11 @@
     return route;
 }
 
-const GatewayConfiguration configuration(
-    7,
-    {route("root", "a.example", "/"), route("long", "a.example", "/x/y/"),
-     route("short", "a.example", "/x/"), route("other", "b.example", "/x/")},
-    {}, {{WorkspaceName("w"), {"key-1", "key-2"}, std::nullopt}}, {});
+const GatewayConfiguration
+    configuration(7,
+                  {route("root", "a.example", "/"), route("long", "a.example", "/x/y/"),
+                   route("short", "a.example", "/x/"), route("other", "b.example", "/x/")},
+                  {}, {{WorkspaceName("w"), {"key-1", "key-2"}, std::nullopt}}, {});
 
 std::string found(const std::string &host, const std::string &path)
 {
--- a/tests/internal/gateway/test_waitingline.cpp
+++ b/tests/internal/gateway/test_waitingline.cpp
@@ -79,15 +79,14 @@
     const unsigned ours = startedInTime([&](const Waiter &next) { line.push(next); },
                                         [&](TimePoint now) { return line.pop(now); });
     std::deque<Waiter> arrivals;
-    const unsigned inOrder = startedInTime(
-        [&](const Waiter &next) { arrivals.push_back(next); },
-        [&](TimePoint) -> std::optional<Waiter> {
-            if (arrivals.empty())
-                return std::nullopt;
-            const Waiter next = arrivals.front();
-            arrivals.pop_front();
-            return next;
-        });
+    const unsigned inOrder = startedInTime([&](const Waiter &next) { arrivals.push_back(next); },
+                                           [&](TimePoint) -> std::optional<Waiter> {
+                                               if (arrivals.empty())
+                                                   return std::nullopt;
+                                               const Waiter next = arrivals.front();
+                                               arrivals.pop_front();
+                                               return next;
+                                           });
     BOOST_TEST(ours > 2 * inOrder, ours << " in time, in order of arrival " << inOrder);
 }
 
--- a/tests/internal/net/test_httpclientpool.cpp
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -17,8 +17,8 @@
 public:
     explicit ScriptedServer(EventLoop &loop)
         : m_loop(loop)
-        , m_acceptor(loop.context(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                                             m_address.m_port))
+        , m_acceptor(loop.context(),
+                     asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_address.m_port))
     {
         accept();
     }
@@ -50,16 +50,17 @@
 
     void accept()
     {
-        m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-            if (error)
-                return;
-            socket.non_blocking(true);
-            m_connections.push_back(std::make_unique<Connection>());
-            Connection &connection = *m_connections.back();
-            connection.m_server = this;
-            connection.m_stream = TcpStream::adopt(m_loop, socket.release(), connection);
-            accept();
-        });
+        m_acceptor.async_accept(
+            [this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+                if (error)
+                    return;
+                socket.non_blocking(true);
+                m_connections.push_back(std::make_unique<Connection>());
+                Connection &connection = *m_connections.back();
+                connection.m_server = this;
+                connection.m_stream = TcpStream::adopt(m_loop, socket.release(), connection);
+                accept();
+            });
     }
 
     void request(Connection &connection)
@@ -194,8 +195,8 @@
     BOOST_TEST((end(first) == CallEnd::Complete));
     m_server.answerWith(wholeAnswer, false);
     Observer second;
-    const auto inProgress = m_pool.call(m_server.address(), request,
-                                        {Clock::now() + Seconds(2), Milliseconds(0), false}, second);
+    const auto inProgress = m_pool.call(
+        m_server.address(), request, {Clock::now() + Seconds(2), Milliseconds(0), false}, second);
     runUntil(m_loop, [&] { return second.m_end.has_value(); });
     BOOST_TEST(m_pool.connectionsMade() == 2U);
 }
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -11,11 +11,10 @@
 struct Server
 {
     explicit Server(EventLoop &loop)
-        : m_listener(loop,
-                     [this](const std::shared_ptr<HttpExchange> &exchange) {
-                         m_exchanges.push_back(exchange);
-                         exchange->onClientGone([this] { ++m_gone; });
-                     })
+        : m_listener(loop, [this](const std::shared_ptr<HttpExchange> &exchange) {
+            m_exchanges.push_back(exchange);
+            exchange->onClientGone([this] { ++m_gone; });
+        })
     {
         std::string error;
         BOOST_REQUIRE_MESSAGE(m_listener.start(m_address, error), error);
--- a/tests/internal/net/test_httpmessageparser.cpp
+++ b/tests/internal/net/test_httpmessageparser.cpp
@@ -14,8 +14,9 @@
     std::string m_body;
 };
 
-const std::string chunkedAnswer = "HTTP/1.1 200 OK\r\nX-Seal: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                  "4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n";
+const std::string chunkedAnswer =
+    "HTTP/1.1 200 OK\r\nX-Seal: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n";
 
 } // namespace
 
@@ -23,7 +24,7 @@
 
 BOOST_AUTO_TEST_CASE(a_message_is_read_alike_in_any_pieces)
 {
-    checkProperty("pieces make no difference", [](std::vector<unsigned> cuts) {
+    checkProperty("pieces make no difference", [](const std::vector<unsigned> &cuts) {
         Collected sink;
         HttpMessageParser parser(HttpMessageType::Response, sink);
         std::size_t at = 0;
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -22,8 +22,8 @@
 };
 
 // Gives the next orders; planned is the version that the coordinator wants.
-using NextOrders = std::function<RolloutStep(const std::vector<RankView> &,
-                                             std::optional<std::uint64_t> planned)>;
+using NextOrders =
+    std::function<RolloutStep(const std::vector<RankView> &, std::optional<std::uint64_t> planned)>;
 
 // A group of ranks in lock-step that carries out orders as engines do, with faults, and notes
 // whether a step was ever begun while two ranks had different maps.
--- a/tests/internal/rankagent/test_expertdemand.cpp
+++ b/tests/internal/rankagent/test_expertdemand.cpp
@@ -26,7 +26,7 @@
     void restart() { m_counts.m_counts.assign(layers * experts, 0); }
 
 private:
-    ExpertCounts m_counts{1, std::vector<std::uint64_t>(layers * experts, 0)};
+    ExpertCounts m_counts{1, std::vector<std::uint64_t>(layers *experts, 0)};
 };
 
 double share(const ExpertDemand &demand, std::size_t expert)
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -45,7 +45,7 @@
     return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
         RolloutStep step = MapRollout().next(views, planned);
         const bool arms = !step.m_orders.empty() && views.front().m_held
-            && step.m_orders.front().m_type == RankOrderType::Arm;
+                          && step.m_orders.front().m_type == RankOrderType::Arm;
         if (arms && step.m_orders.size() < views.size()) {
             step.m_orders.clear();
             for (const RankView &view : views) {
--- a/tests/platform/test_platformcalldialect.cpp
+++ b/tests/platform/test_platformcalldialect.cpp
@@ -1,6 +1,6 @@
-#include <boost/test/unit_test.hpp>
-
 #include <burdockhead/http/httprequest.h>
+
+#include <boost/test/unit_test.hpp>
 #include <platform/platformcalldialect.h>
 
 using namespace burdockhead;
@@ -104,8 +104,7 @@
     BOOST_TEST(dialect.comeBackHeaders(Milliseconds(1250)).front().m_value == "1.250");
     const OwnAnswer answer =
         dialect.addressAnswer({{"10.1.0.40", 8227}, {"10.1.0.41", 8227}}, Milliseconds(2000));
-    BOOST_TEST(answer.m_body
-               == R"({"addresses":["10.1.0.40:8227","10.1.0.41:8227"],"ttlS":2.0})");
+    BOOST_TEST(answer.m_body == R"({"addresses":["10.1.0.40:8227","10.1.0.41:8227"],"ttlS":2.0})");
     HttpHead asked;
     asked.m_target = "/-/resolution?name=ficu95.example&region=cairo&zone=maadi";
     BOOST_TEST(dialect.asksAddresses(asked));
--- a/tests/platform/test_platformenginedialect.cpp
+++ b/tests/platform/test_platformenginedialect.cpp
@@ -1,5 +1,4 @@
 #include <boost/test/unit_test.hpp>
-
 #include <nlohmann/json.hpp>
 #include <platform/platformenginedialect.h>
 
@@ -13,7 +12,7 @@
 {
     return R"({"stage":"both","group":{"name":"g0-0","epoch":1,"rank":3,"state":"open"},"size":16,)"
            R"("busy":false,"sequence":2,"born":1777694836900,"pace":1.0,"step":35,"map":4,)"
-        + more + "}";
+           + more + "}";
 }
 
 } // namespace
@@ -31,8 +30,8 @@
     BOOST_TEST(idle->m_step == 35U);
     BOOST_TEST(idle->m_map == 4U);
     BOOST_TEST(!idle->m_prepared.has_value());
-    const auto changing = dialect.readView(
-        report(R"("prepared":5,"armed":{"version":5,"step":47},"held":47)"));
+    const auto changing =
+        dialect.readView(report(R"("prepared":5,"armed":{"version":5,"step":47},"held":47)"));
     BOOST_REQUIRE(changing.has_value());
     BOOST_TEST(changing->m_prepared.value() == 5U);
     BOOST_TEST((changing->m_armed == ArmedMap{5, 47}));
@@ -59,9 +58,9 @@
 {
     using Json = nlohmann::json;
     const ExpertMap map{9, {{{0}, {0, 1}, {1}}}};
-    BOOST_TEST(Json::parse(dialect.writeOrder({0, RankOrderType::Prepare, 2, 9, 0}, &map, 2))
-               == Json::parse(
-                   R"({"operation":"prepare","epoch":2,"version":9,"map":[[[0,1],[1,2]]]})"));
+    BOOST_TEST(
+        Json::parse(dialect.writeOrder({0, RankOrderType::Prepare, 2, 9, 0}, &map, 2))
+        == Json::parse(R"({"operation":"prepare","epoch":2,"version":9,"map":[[[0,1],[1,2]]]})"));
     BOOST_TEST(Json::parse(dialect.writeOrder({1, RankOrderType::Arm, 2, 9, 47}, nullptr, 2))
                == Json::parse(R"({"operation":"arm","epoch":2,"version":9,"step":47})"));
     BOOST_TEST(Json::parse(dialect.writeOrder({0, RankOrderType::Hold, 2, 0, 47}, nullptr, 2))
--- a/tests/platform/test_platformstoredialect.cpp
+++ b/tests/platform/test_platformstoredialect.cpp
@@ -1,5 +1,4 @@
 #include <boost/test/unit_test.hpp>
-
 #include <platform/platformstoredialect.h>
 
 using namespace burdockhead;
@@ -25,7 +24,7 @@
 std::string listed(const std::string &name, const std::string &spec)
 {
     return R"({"items":[{"metadata":{"name":")" + name + R"(","revision":5},"spec":)" + spec
-        + R"(,"status":null}],"hasMore":false,"asOf":530})";
+           + R"(,"status":null}],"hasMore":false,"asOf":530})";
 }
 
 StoreChange only(StoreKind kind, const std::string &body)
@@ -40,8 +39,8 @@
                          const std::string &address = "10.128.0.9:8080")
 {
     return R"({"service":"huvo11a","address":")" + address
-        + R"(","zone":"th-central-a","version":"v1","slots":12,"state":")" + state
-        + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":4})";
+           + R"(","zone":"th-central-a","version":"v1","slots":12,"state":")" + state
+           + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":4})";
 }
 
 } // namespace
@@ -79,8 +78,7 @@
     BOOST_TEST(entry.m_slots == 12U);
     BOOST_TEST(entry.m_startedAt == 1777694836900U);
     BOOST_TEST(!entry.m_isLeaving);
-    const auto leaving =
-        only(StoreKind::Endpoints, listed("i-7f3a", endpointSpec("draining")));
+    const auto leaving = only(StoreKind::Endpoints, listed("i-7f3a", endpointSpec("draining")));
     BOOST_TEST(std::get<EndpointEntry>(leaving.m_value).m_isLeaving);
 }
 
@@ -94,10 +92,10 @@
         const StoreChange change = only(StoreKind::Endpoints, listed("i-bad", spec));
         BOOST_TEST(std::holds_alternative<UnusableObject>(change.m_value), spec);
     }
-    const auto page = dialect.readList(
-        StoreKind::Endpoints, R"({"items":[{"metadata":{"name":"bad"},"spec":{}},)"
-                                  R"({"metadata":{"name":"good"},"spec":)"
-            + endpointSpec() + R"(}],"hasMore":true,"asOf":7})");
+    const auto page = dialect.readList(StoreKind::Endpoints,
+                                       R"({"items":[{"metadata":{"name":"bad"},"spec":{}},)"
+                                       R"({"metadata":{"name":"good"},"spec":)"
+                                           + endpointSpec() + R"(}],"hasMore":true,"asOf":7})");
     BOOST_REQUIRE(page.has_value());
     BOOST_TEST(page->m_hasMore);
     BOOST_TEST(std::holds_alternative<EndpointEntry>(page->m_changes.at(1).m_value));
--- a/tests/public/gateway/gatewayworld.cpp
+++ b/tests/public/gateway/gatewayworld.cpp
@@ -67,7 +67,7 @@
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
                   "idleTimeoutMs":15000},
         "tenants":[{"name":"w","apiKeys":[")"
-        + credential + R"("],"priority":1}]})";
+           + credential + R"("],"priority":1}]})";
 }
 
 void GatewayWorld::startGateway()
@@ -119,8 +119,7 @@
 }
 
 std::unique_ptr<ClientCall> GatewayWorld::call(const std::string &method, const std::string &path,
-                                               const std::string &credential,
-                                               Milliseconds timeLeft)
+                                               const std::string &credential, Milliseconds timeLeft)
 {
     const HttpHeaders headers = {{"Host", "h.example"},
                                  {"X-Request-Id", "r" + std::to_string(++m_lastRequest)},
@@ -133,8 +132,7 @@
 }
 
 std::unique_ptr<ClientCall> GatewayWorld::ask(const std::string &method, const std::string &path,
-                                              const std::string &credential,
-                                              Milliseconds timeLeft)
+                                              const std::string &credential, Milliseconds timeLeft)
 {
     auto made = call(method, path, credential, timeLeft);
     await([&] { return made->isOver(); });
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -1,5 +1,4 @@
 #include "gatewayworld.h"
-
 #include <burdockhead/http/httprequest.h>
 
 #include <csignal>
--- a/tests/public/operators/commandrun.h
+++ b/tests/public/operators/commandrun.h
@@ -25,23 +25,23 @@
 // Runs a command in this process; its flags are back at their defaults afterwards.
 inline CommandRun runProgram(const Arguments &arguments, const std::string &input = "")
 {
-    const ProcessRunners runners = {[](const EntrySettings &settings) {
-                                        lastProcessPort = settings.m_callers.m_port;
-                                        return 0;
-                                    },
-                                    [](const AgentSettings &settings) {
-                                        lastProcessPort = settings.m_link.m_port;
-                                        return 0;
-                                    },
-                                    [](const GatewaySettings &settings,
-                                       const ReadGatewaySettings &) {
-                                        lastProcessPort = settings.m_clients.m_port;
-                                        return 0;
-                                    },
-                                    [](const RankAgentSettings &settings) {
-                                        lastProcessPort = settings.m_agents.m_port;
-                                        return 0;
-                                    }};
+    const ProcessRunners runners = {
+        [](const EntrySettings &settings) {
+            lastProcessPort = settings.m_callers.m_port;
+            return 0;
+        },
+        [](const AgentSettings &settings) {
+            lastProcessPort = settings.m_link.m_port;
+            return 0;
+        },
+        [](const GatewaySettings &settings, const ReadGatewaySettings &) {
+            lastProcessPort = settings.m_clients.m_port;
+            return 0;
+        },
+        [](const RankAgentSettings &settings) {
+            lastProcessPort = settings.m_agents.m_port;
+            return 0;
+        }};
     const absl::FlagSaver savedFlags;
     std::istringstream in(input);
     std::ostringstream out;
@@ -55,8 +55,9 @@
 {
 public:
     explicit ScopedFile(const std::string &text)
-        : m_name(std::filesystem::temp_directory_path() / ("operators-test-" + std::to_string(getpid()) + "-" + std::to_string(nextNumber())
-                 + ".ini"))
+        : m_name(std::filesystem::temp_directory_path()
+                 / ("operators-test-" + std::to_string(getpid()) + "-"
+                    + std::to_string(nextNumber()) + ".ini"))
     {
         std::ofstream(m_name) << text;
     }
--- a/tests/standins/fleet/endpointstandin.cpp
+++ b/tests/standins/fleet/endpointstandin.cpp
@@ -36,8 +36,8 @@
 std::string EndpointStandIn::entry(const std::string &state) const
 {
     return R"({"service":")" + m_service + R"(","address":")" + m_address.toString()
-        + R"(","zone":"a","slots":4,"state":")" + state
-        + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":1})";
+           + R"(","zone":"a","slots":4,"state":")" + state
+           + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":1})";
 }
 
 std::string EndpointStandIn::events(int first, int last)
--- a/tests/standins/fleet/endpointstandin.h
+++ b/tests/standins/fleet/endpointstandin.h
@@ -11,13 +11,13 @@
 // What an endpoint does with a request instead of answering it.
 enum class Misbehaviour {
     None,
-    Refuse,        // 503, not run.
-    LoseAnswer,    // Runs it and closes the connection.
-    BreakStream,   // Sends half of a stream's events and a part of the next.
-    Foreign,       // Answers with the id of another request.
-    Fail,          // 500, run.
-    Hang,          // Runs it and never answers.
-    SkipEvent,     // Leaves out an event of a stream.
+    Refuse,      // 503, not run.
+    LoseAnswer,  // Runs it and closes the connection.
+    BreakStream, // Sends half of a stream's events and a part of the next.
+    Foreign,     // Answers with the id of another request.
+    Fail,        // 500, run.
+    Hang,        // Runs it and never answers.
+    SkipEvent,   // Leaves out an event of a stream.
 };
 
 // One request as an endpoint ran it.
--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -31,7 +31,7 @@
 std::string StoreStandIn::objectJson(const std::string &kind, const std::string &name) const
 {
     return R"({"metadata":{"name":")" + name + R"(","revision":)" + std::to_string(m_revision)
-        + R"(},"spec":)" + m_objects.at(kind).at(name) + R"(,"status":null})";
+           + R"(},"spec":)" + m_objects.at(kind).at(name) + R"(,"status":null})";
 }
 
 void StoreStandIn::put(const std::string &kind, const std::string &name, const std::string &spec)
@@ -122,8 +122,7 @@
         const auto waiting = weak.lock();
         if (!waiting || m_isSilent)
             return;
-        std::erase_if(m_watches,
-                      [&](const Watch &other) { return other.m_exchange == waiting; });
+        std::erase_if(m_watches, [&](const Watch &other) { return other.m_exchange == waiting; });
         if (after < m_forgottenUpTo)
             waiting->answer(410, {}, "");
         else
