--- a/src/burdockhead/rankagent/expertdemand.cpp
+++ b/src/burdockhead/rankagent/expertdemand.cpp
@@ -9,11 +9,12 @@
 
 // What an earlier round counts for against the next one; the last ten rounds or so count.
 constexpr double keptPerRound = 0.9;
-// Counts for each expert of a layer, on average, below which a round waits for the next one.
-constexpr double leastPerExpert = 200;
-// The part of a layer's choices that must have moved to other experts to show a shift. Chance
-// moves a few hundredths of as many choices.
-constexpr double shiftedPart = 0.12;
+// Counts for each expert of a layer, on average, below which a round waits for the next one:
+// some prompts' worth, as each prompt has its own choice.
+constexpr double leastPerExpert = 2500;
+// The part of a layer's choices that must have moved to other experts to show a shift; shifts
+// move a third or more, chance about a tenth.
+constexpr double shiftedPart = 0.2;
 
 double total(const LayerLoads &layer)
 {
@@ -75,6 +76,7 @@
     const bool hasShifted = moved / static_cast<double>(m_layers) > shiftedPart;
     if (hasShifted)
         m_loads = emptyLoads();
+    m_isSettled = !hasShifted;
     for (std::size_t layer = 0; layer < m_layers; ++layer) {
         for (std::size_t expert = 0; expert < m_experts; ++expert) {
             double &load = m_loads.m_layers[layer][expert];
@@ -87,7 +89,7 @@
 
 bool ExpertDemand::isTelling() const
 {
-    return m_layers > 0
+    return m_layers > 0 && m_isSettled
            && total(m_loads.m_layers.front()) >= leastPerExpert * static_cast<double>(m_experts);
 }
 
--- a/src/burdockhead/rankagent/expertdemand.h
+++ b/src/burdockhead/rankagent/expertdemand.h
@@ -25,7 +25,8 @@
 
     const GroupLoads &loads() const { return m_loads; }
 
-    // Whether enough has been counted since the last shift to plan by.
+    // Whether enough has been counted since the last shift to plan by. The round that shows a
+    // shift counts choices from before it too, so another one has to agree with it.
     bool isTelling() const;
 
 private:
@@ -42,6 +43,7 @@
     GroupLoads m_loads;  // Since the last shift, earlier rounds for less.
     GroupLoads m_recent; // Not yet taken into the others.
     std::map<std::uint32_t, Seen> m_seen;
+    bool m_isSettled = true;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -20,7 +20,7 @@
 // How long the engine on this machine may take to answer.
 constexpr Milliseconds engineTimeout{120};
 // The counts change slowly against the views and are long; they are read again after this.
-constexpr Milliseconds countsInterval{80};
+constexpr Milliseconds countsInterval{30};
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 constexpr int statusNoAnswer = 504;
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -39,6 +39,7 @@
 constexpr Milliseconds planPause{700};
 
 constexpr int statusOk = 200;
+constexpr int firstFailureStatus = 400;
 
 } // namespace
 
@@ -192,7 +193,13 @@
         m_parts.m_lines.add("demand_shifted", {{"group", *m_group}});
         m_nextPlanAt = {};
         m_nextFullRoundAt = {};
+        // A plan by the demand from before isn't worth its loads.
+        if (!m_isHolding)
+            m_plan.reset();
     }
+    // The next plan needs to know what all ranks hold.
+    if (!m_demand->isTelling())
+        m_nextFullRoundAt = {};
     if (m_isFullRound)
         decide();
     else
@@ -233,6 +240,7 @@
         m_nextPlanAt = Clock::now() + planPause;
     }
     give(step.m_orders);
+    m_isHolding = step.m_isHolding;
     if (step.m_isHolding)
         scheduleRound(holdPause);
     else if (m_plan)
@@ -290,6 +298,8 @@
             m_parts.m_loop, m_parts.m_client, agent->second, "POST", rankOrderTarget,
             m_parts.m_dialect.writeOrder(order, map, m_ranks.size()), now + orderTimeout,
             [this, order](AgentCall &call) {
+                if (order.m_type == RankOrderType::Prepare && call.status() >= firstFailureStatus)
+                    m_prepareAgainAt.erase(order.m_rank);
                 m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
                                               {"type", toString(order.m_type)},
                                               {"version", std::to_string(order.m_version)},
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -83,6 +83,7 @@
     std::size_t m_unanswered = 0;
     TimerId m_timer = 0;
     TimePoint m_nextPlanAt;
+    bool m_isHolding = false; // The last round's orders hold the group or let it go.
     std::uint64_t m_lastStep = 0;
 };
 
