--- a/src/burdockhead/rankagent/expertdemand.cpp
+++ b/src/burdockhead/rankagent/expertdemand.cpp
@@ -12,9 +12,13 @@
 // Counts for each expert of a layer, on average, below which a round waits for the next one:
 // some prompts' worth, as each prompt has its own choice.
 constexpr double leastPerExpert = 2500;
-// The part of a layer's choices that must have moved to other experts to show a shift; shifts
-// move a third or more, chance about a tenth.
-constexpr double shiftedPart = 0.2;
+// How much more than usual must have moved to other experts between two rounds to show a shift,
+// as a factor and a part of the choices: chance moves as much as usual, a shift several times.
+constexpr double shiftFactor = 2;
+constexpr double shiftMargin = 0.02;
+// The usual part before anything is known, and how much one round moves it.
+constexpr double firstUsualPart = 0.08;
+constexpr double weightOfRound = 0.15;
 
 double total(const LayerLoads &layer)
 {
@@ -22,7 +26,7 @@
 }
 
 // The part of the choices that one layer makes differently from the other.
-double movedPart(const LayerLoads &left, const LayerLoads &right)
+double partMoved(const LayerLoads &left, const LayerLoads &right)
 {
     const double leftTotal = total(left);
     const double rightTotal = total(right);
@@ -41,6 +45,7 @@
     , m_experts(experts)
     , m_loads(emptyLoads())
     , m_recent(emptyLoads())
+    , m_usualPart(firstUsualPart)
 {}
 
 GroupLoads ExpertDemand::emptyLoads() const
@@ -48,21 +53,13 @@
     return {std::vector<LayerLoads>(m_layers, LayerLoads(m_experts, 0.0))};
 }
 
-void ExpertDemand::add(std::uint32_t rank, std::uint64_t startedAt, const ExpertCounts &counts)
+void ExpertDemand::add(const ExpertCounts &counts)
 {
     if (counts.m_counts.size() != m_layers * m_experts)
         return;
-    Seen &seen = m_seen[rank];
-    if (seen.m_startedAt != startedAt || seen.m_counts.size() != counts.m_counts.size())
-        seen = {startedAt, std::vector<std::uint64_t>(counts.m_counts.size(), 0)};
-    for (std::size_t index = 0; index < counts.m_counts.size(); ++index) {
-        const std::uint64_t before = seen.m_counts[index];
-        const std::uint64_t count = counts.m_counts[index];
-        if (count > before)
-            m_recent.m_layers[index / m_experts][index % m_experts] +=
-                static_cast<double>(count - before);
-    }
-    seen.m_counts = counts.m_counts;
+    for (std::size_t index = 0; index < counts.m_counts.size(); ++index)
+        m_recent.m_layers[index / m_experts][index % m_experts] +=
+            static_cast<double>(counts.m_counts[index]);
 }
 
 bool ExpertDemand::endRound()
@@ -72,10 +69,13 @@
         return false;
     double moved = 0;
     for (std::size_t layer = 0; layer < m_layers; ++layer)
-        moved += movedPart(m_loads.m_layers[layer], m_recent.m_layers[layer]);
-    const bool hasShifted = moved / static_cast<double>(m_layers) > shiftedPart;
+        moved += partMoved(m_loads.m_layers[layer], m_recent.m_layers[layer]);
+    m_movedPart = moved / static_cast<double>(m_layers);
+    const bool hasShifted = m_movedPart > shiftFactor * m_usualPart + shiftMargin;
     if (hasShifted)
         m_loads = emptyLoads();
+    else if (m_movedPart > 0)
+        m_usualPart += (m_movedPart - m_usualPart) * weightOfRound;
     m_isSettled = !hasShifted;
     for (std::size_t layer = 0; layer < m_layers; ++layer) {
         for (std::size_t expert = 0; expert < m_experts; ++expert) {
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -3,6 +3,7 @@
 #include <burdockhead/observe/log.h>
 #include <burdockhead/process/processstart.h>
 #include <burdockhead/rankagent/agentcall.h>
+#include <burdockhead/rankagent/countdifference.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
 
@@ -19,9 +20,10 @@
 constexpr Milliseconds linesInterval{100};
 // How long the engine on this machine may take to answer.
 constexpr Milliseconds engineTimeout{120};
-// The counts change slowly against the views and are long; they are read again after this.
-constexpr Milliseconds countsInterval{30};
+// How long another agent may take to pass on an order with a map over a slow link.
+constexpr Milliseconds forwardTimeout{300};
 constexpr int statusOk = 200;
+constexpr int statusMalformed = 400;
 constexpr int statusUnavailable = 503;
 constexpr int statusNoAnswer = 504;
 
@@ -41,6 +43,7 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void answerStatus(const std::shared_ptr<HttpExchange> &exchange, bool hasCounts);
     void passOrder(const std::shared_ptr<HttpExchange> &exchange);
+    void forward(const RankOrderMessage &message);
     void askEngine(const std::string &method, const std::string &target, const std::string &body,
                    Answered answered);
     void readView(std::function<void()> then);
@@ -69,7 +72,7 @@
     std::optional<RankView> m_view;
     ExpertCounts m_counts;
     RankExperts m_experts;
-    TimePoint m_countsAgainAt;
+    CountDifference m_countDifference;
     bool m_isFollowing = false;
 };
 
@@ -81,7 +84,7 @@
     , m_engineClient(m_loop)
     , m_agentClient(m_loop)
     , m_storeClient(m_loop)
-    , m_coordinator({m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics},
+    , m_coordinator({m_loop, m_agentClient, m_lines, m_metrics},
                     Random(systemSeed()))
     , m_configurationFollower(followerParts(), StoreKind::Configuration,
                               {[this](const auto &changes) { takeConfiguration(changes); },
@@ -138,15 +141,14 @@
 
 void RankAgentProcess::readCounts(std::function<void()> then)
 {
-    if (Clock::now() < m_countsAgainAt) {
-        then();
-        return;
-    }
-    m_countsAgainAt = Clock::now() + countsInterval;
     askEngine("GET", m_dialects.m_engine.countsTarget(), "",
               [this, then = std::move(then)](const AgentCall &call) {
-                  if (call.status() == statusOk)
-                      m_counts = m_dialects.m_engine.readCounts(call.body()).value_or(m_counts);
+                  m_counts = {};
+                  const auto counts = call.status() == statusOk
+                                          ? m_dialects.m_engine.readCounts(call.body())
+                                          : std::optional<ExpertCounts>();
+                  if (counts && m_view)
+                      m_counts = m_countDifference.since(*counts, m_view->m_startedAt);
                   then();
               });
 }
@@ -198,12 +200,35 @@
 
 void RankAgentProcess::passOrder(const std::shared_ptr<HttpExchange> &exchange)
 {
-    askEngine("POST", m_dialects.m_engine.orderTarget(), exchange->body(),
+    const auto message = readRankOrder(exchange->body());
+    if (!message) {
+        m_lines.add("order_unreadable", {{"bytes", std::to_string(exchange->body().size())}});
+        exchange->answer(statusMalformed, {}, "");
+        return;
+    }
+    forward(*message);
+    const ExpertMap *map = message->m_map ? &*message->m_map : nullptr;
+    askEngine("POST", m_dialects.m_engine.orderTarget(),
+              m_dialects.m_engine.writeOrder(message->m_order, map, message->m_ranks),
               [exchange](const AgentCall &call) {
                   exchange->answer(call.status() == 0 ? statusNoAnswer : call.status(), {}, "");
               });
 }
 
+// Passes the order on. An agent that isn't reached is told again by the coordinator, which sees
+// that its rank doesn't do as told.
+void RankAgentProcess::forward(const RankOrderMessage &message)
+{
+    for (const ForwardedRank &rank : message.m_forwardTo) {
+        RankOrderMessage forwarded = message;
+        forwarded.m_order.m_rank = rank.m_rank;
+        forwarded.m_forwardTo.clear();
+        m_calls.push_back(std::make_unique<AgentCall>(
+            m_loop, m_agentClient, rank.m_agent, "POST", rankOrderTarget,
+            writeRankOrder(forwarded), Clock::now() + forwardTimeout, [](AgentCall &) {}));
+    }
+}
+
 void RankAgentProcess::look()
 {
     readView([this] { coordinate(); });
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -21,9 +21,11 @@
 // Added to each pause for a rank that is asked, so that large groups don't fill the link of the
 // coordinator's VM.
 constexpr double pauseForRankMilliseconds = 1;
-// Counts that are read in a round, over all ranks: about 40 KB, a third of what the link of the
+// Counts that are read in a round, over all ranks: about 40 KB, half of what the link of the
 // coordinator's VM carries in the time. In large groups some ranks stand for the others.
-constexpr std::size_t countsInRound = 10000;
+constexpr std::size_t countsInRound = 30000;
+// Orders with a map that the coordinator gives itself; further ranks are told by those agents.
+constexpr std::size_t relays = 8;
 // All ranks are asked at least as often, which shows a hold that was left behind.
 constexpr Milliseconds fullRoundInterval{700};
 // The time in which a change should be loaded, against some seconds between two shifts, and
@@ -33,6 +35,8 @@
 // How long an agent may take to answer; on one network it takes a few milliseconds.
 constexpr Milliseconds statusTimeout{200};
 constexpr Milliseconds orderTimeout{120};
+// The same for an order with a map over a slow link.
+constexpr Milliseconds mapTimeout{300};
 // Orders to load are given again after this; loading takes up to about a second.
 constexpr Milliseconds prepareAgainAfter{600};
 // Between plans, so that the effect of one is counted before the next.
@@ -136,7 +140,7 @@
     if (status && status->m_view.m_group == m_group) {
         const std::uint32_t rank = status->m_view.m_rank;
         if (m_demand)
-            m_demand->add(rank, status->m_view.m_startedAt, status->m_counts);
+            m_demand->add(status->m_counts);
         if (m_isFullRound) {
             m_rankAgents[rank] = call.address();
             m_ranks[rank] = *status;
@@ -190,7 +194,8 @@
     if (!m_group || !m_shape || !m_demand)
         return;
     if (m_demand->endRound()) {
-        m_parts.m_lines.add("demand_shifted", {{"group", *m_group}});
+        m_parts.m_lines.add("demand_shifted", {{"group", *m_group},
+                                               {"moved", std::to_string(m_demand->movedPart())}});
         m_nextPlanAt = {};
         m_nextFullRoundAt = {};
         // A plan by the demand from before isn't worth its loads.
@@ -283,30 +288,47 @@
 void RankCoordinator::give(const std::vector<RankOrder> &orders)
 {
     const TimePoint now = Clock::now();
+    std::vector<RankOrderMessage> messages;
+    std::vector<RankOrderMessage> withMap;
     for (const RankOrder &order : orders) {
-        if (order.m_type == RankOrderType::Prepare) {
-            TimePoint &again = m_prepareAgainAt[order.m_rank];
-            if (now < again)
-                continue;
-            again = now + prepareAgainAfter;
+        if (!m_rankAgents.contains(order.m_rank))
+            continue;
+        RankOrderMessage message = {order, static_cast<std::uint32_t>(m_ranks.size()), {}, {}};
+        if (order.m_type != RankOrderType::Prepare) {
+            messages.push_back(std::move(message));
+            continue;
         }
-        const auto agent = m_rankAgents.find(order.m_rank);
-        if (agent == m_rankAgents.end())
+        TimePoint &again = m_prepareAgainAt[order.m_rank];
+        if (now < again || !m_plan)
             continue;
-        const ExpertMap *map = m_plan ? &m_plan->m_map : nullptr;
-        m_ordering.push_back(std::make_unique<AgentCall>(
-            m_parts.m_loop, m_parts.m_client, agent->second, "POST", rankOrderTarget,
-            m_parts.m_dialect.writeOrder(order, map, m_ranks.size()), now + orderTimeout,
-            [this, order](AgentCall &call) {
-                if (order.m_type == RankOrderType::Prepare && call.status() >= firstFailureStatus)
-                    m_prepareAgainAt.erase(order.m_rank);
-                m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
-                                              {"type", toString(order.m_type)},
-                                              {"version", std::to_string(order.m_version)},
-                                              {"step", std::to_string(order.m_step)},
-                                              {"status", std::to_string(call.status())}});
-            }));
+        again = now + prepareAgainAfter;
+        if (withMap.size() < relays) {
+            message.m_map = m_plan->m_map;
+            withMap.push_back(std::move(message));
+        } else {
+            RankOrderMessage &relay = withMap[order.m_rank % relays];
+            relay.m_forwardTo.push_back({order.m_rank, m_rankAgents.at(order.m_rank)});
+        }
     }
+    messages.insert(messages.end(), withMap.begin(), withMap.end());
+    for (const RankOrderMessage &message : messages)
+        give(message, now + (message.m_map ? mapTimeout : orderTimeout));
+}
+
+void RankCoordinator::give(const RankOrderMessage &message, TimePoint deadline)
+{
+    const RankOrder order = message.m_order;
+    m_ordering.push_back(std::make_unique<AgentCall>(
+        m_parts.m_loop, m_parts.m_client, m_rankAgents.at(order.m_rank), "POST", rankOrderTarget,
+        writeRankOrder(message), deadline, [this, order](AgentCall &call) {
+            if (order.m_type == RankOrderType::Prepare && call.status() >= firstFailureStatus)
+                m_prepareAgainAt.erase(order.m_rank);
+            m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
+                                          {"type", toString(order.m_type)},
+                                          {"version", std::to_string(order.m_version)},
+                                          {"step", std::to_string(order.m_step)},
+                                          {"status", std::to_string(call.status())}});
+        }));
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -24,7 +24,6 @@
 {
     EventLoop &m_loop;
     HttpClientPool &m_client;
-    const EngineDialect &m_dialect;
     LineSink &m_lines;
     Metrics &m_metrics;
 };
@@ -64,6 +63,7 @@
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
+    void give(const RankOrderMessage &message, TimePoint deadline);
 
     CoordinatorParts m_parts;
     Random m_random;
--- a/src/burdockhead/rankagent/rankmessages.cpp
+++ b/src/burdockhead/rankagent/rankmessages.cpp
@@ -98,4 +98,53 @@
     return status;
 }
 
+std::string writeRankOrder(const RankOrderMessage &message)
+{
+    MessageWriter writer;
+    const RankOrder &order = message.m_order;
+    writer.number(order.m_rank)
+        .number(static_cast<std::uint64_t>(order.m_type))
+        .number(order.m_epoch)
+        .number(order.m_version)
+        .number(order.m_step)
+        .number(message.m_ranks)
+        .text(message.m_map ? message.m_map->encode() : std::string())
+        .number(message.m_forwardTo.size());
+    for (const ForwardedRank &rank : message.m_forwardTo)
+        writer.number(rank.m_rank).text(rank.m_agent.toString());
+    return writer.take();
+}
+
+std::optional<RankOrderMessage> readRankOrder(std::string_view bytes)
+{
+    MessageReader reader(bytes);
+    RankOrderMessage message;
+    message.m_order.m_rank = static_cast<std::uint32_t>(reader.number());
+    const std::uint64_t type = reader.number();
+    if (type > static_cast<std::uint64_t>(RankOrderType::Go))
+        reader.fail();
+    message.m_order.m_type = static_cast<RankOrderType>(type);
+    message.m_order.m_epoch = reader.number();
+    message.m_order.m_version = reader.number();
+    message.m_order.m_step = reader.number();
+    message.m_ranks = static_cast<std::uint32_t>(reader.number());
+    const std::string map = reader.text();
+    if (!map.empty()) {
+        message.m_map = ExpertMap::decode(map);
+        if (!message.m_map)
+            reader.fail();
+    }
+    message.m_forwardTo.resize(reader.listLength(maxNumbers));
+    for (ForwardedRank &rank : message.m_forwardTo) {
+        rank.m_rank = static_cast<std::uint32_t>(reader.number());
+        const auto agent = SocketAddress::parse(reader.text());
+        if (!agent)
+            reader.fail();
+        rank.m_agent = agent.value_or(SocketAddress());
+    }
+    if (!reader.complete())
+        return std::nullopt;
+    return message;
+}
+
 } // namespace burdockhead
--- a/tests/internal/rankagent/test_expertdemand.cpp
+++ b/tests/internal/rankagent/test_expertdemand.cpp
@@ -1,3 +1,4 @@
+#include <burdockhead/rankagent/countdifference.h>
 #include <burdockhead/rankagent/expertdemand.h>
 
 #include <boost/test/unit_test.hpp>
@@ -10,12 +11,13 @@
 constexpr std::size_t experts = 8;
 constexpr std::uint64_t perRound = 40000;
 
-// Counts that grow each round, for one expert most.
+// What a rank counts in a round, for one expert most.
 class CountingRank
 {
 public:
     const ExpertCounts &round(std::size_t popular)
     {
+        m_counts.m_counts.assign(layers * experts, 0);
         for (std::size_t layer = 0; layer < layers; ++layer) {
             for (std::size_t expert = 0; expert < experts; ++expert)
                 m_counts.m_counts[layer * experts + expert] +=
@@ -23,7 +25,6 @@
         }
         return m_counts;
     }
-    void restart() { m_counts.m_counts.assign(layers * experts, 0); }
 
 private:
     ExpertCounts m_counts{1, std::vector<std::uint64_t>(layers *experts, 0)};
@@ -47,11 +48,11 @@
     ExpertDemand demand(layers, experts);
     CountingRank rank;
     for (int round = 0; round < 30; ++round) {
-        demand.add(0, 1, rank.round(3));
+        demand.add(rank.round(3));
         BOOST_TEST(!demand.endRound());
     }
     BOOST_TEST(share(demand, 3) > 0.7);
-    demand.add(0, 1, rank.round(5));
+    demand.add(rank.round(5));
     BOOST_TEST(demand.endRound());
     BOOST_TEST(share(demand, 5) > 0.7);
     BOOST_TEST(share(demand, 3) < 0.1);
@@ -63,39 +64,41 @@
 {
     ExpertDemand demand(layers, experts);
     CountingRank rank;
-    demand.add(0, 1, rank.round(3));
+    demand.add(rank.round(3));
     demand.endRound();
     BOOST_TEST(demand.isTelling());
-    rank.round(3);
-    demand.add(0, 1, rank.round(5));
+    demand.add(rank.round(3));
+    demand.add(rank.round(5));
     BOOST_TEST(demand.endRound());
     BOOST_TEST(!demand.isTelling());
-    demand.add(0, 1, rank.round(5));
+    demand.add(rank.round(5));
     BOOST_TEST(demand.endRound());
     BOOST_TEST(!demand.isTelling());
-    demand.add(0, 1, rank.round(5));
+    demand.add(rank.round(5));
     BOOST_TEST(!demand.endRound());
     BOOST_TEST(demand.isTelling());
     BOOST_TEST(share(demand, 5) > 0.7);
 }
 
+BOOST_AUTO_TEST_CASE(counts_are_told_from_the_last_reading_on)
+{
+    CountDifference difference;
+    BOOST_TEST((difference.since({1, {100, 50}}, 7) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {130, 50}}, 7) == ExpertCounts{1, {30, 0}}));
+}
+
 BOOST_AUTO_TEST_CASE(a_rank_that_starts_again_counts_anew)
 {
-    ExpertDemand demand(layers, experts);
-    CountingRank rank;
-    demand.add(0, 1, rank.round(3));
-    demand.endRound();
-    const double before = demand.loads().m_layers.front()[3];
-    rank.restart();
-    demand.add(0, 2, rank.round(3));
-    demand.endRound();
-    BOOST_TEST(demand.loads().m_layers.front()[3] > before);
+    CountDifference difference;
+    difference.since({1, {100, 50}}, 7);
+    BOOST_TEST((difference.since({1, {120, 60}}, 8) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {125, 61}}, 8) == ExpertCounts{1, {5, 1}}));
 }
 
 BOOST_AUTO_TEST_CASE(few_counts_wait_for_more)
 {
     ExpertDemand demand(layers, experts);
-    demand.add(0, 1, {1, std::vector<std::uint64_t>(layers * experts, 3)});
+    demand.add({1, std::vector<std::uint64_t>(layers * experts, 3)});
     BOOST_TEST(!demand.endRound());
     BOOST_TEST(!demand.isTelling());
 }
@@ -103,7 +106,7 @@
 BOOST_AUTO_TEST_CASE(counts_of_another_shape_are_ignored)
 {
     ExpertDemand demand(layers, experts);
-    demand.add(0, 1, {1, std::vector<std::uint64_t>(3, 100000)});
+    demand.add({1, std::vector<std::uint64_t>(3, 100000)});
     BOOST_TEST(!demand.isTelling());
 }
 
--- a/tests/internal/rankagent/test_rankmessages.cpp
+++ b/tests/internal/rankagent/test_rankmessages.cpp
@@ -32,4 +32,18 @@
         BOOST_TEST(!readRankStatus(message.substr(0, length)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_order_reads_back_as_it_was_written)
+{
+    const RankOrderMessage message = {{3, RankOrderType::Prepare, 2, 9, 0},
+                                      2,
+                                      ExpertMap{9, {{{0}, {0, 1}, {1}}}},
+                                      {{4, {"10.0.0.4", 7260}}, {5, {"10.0.0.5", 7260}}}};
+    const std::string bytes = writeRankOrder(message);
+    BOOST_TEST((readRankOrder(bytes) == message));
+    const RankOrderMessage plain = {{0, RankOrderType::Go, 2, 0, 47}, 2, {}, {}};
+    BOOST_TEST((readRankOrder(writeRankOrder(plain)) == plain));
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!readRankOrder(bytes.substr(0, length)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
