--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -6,9 +6,11 @@
 #include <burdockhead/rankagent/countdifference.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
+#include <burdockhead/settings/valuetext.h>
 
 #include <algorithm>
 #include <csignal>
+#include <limits>
 #include <unistd.h>
 
 namespace burdockhead {
@@ -17,6 +19,14 @@
 
 // How often the own rank is looked at while nobody asks for it.
 constexpr Milliseconds lookInterval{500};
+// The same while a map change is under way, for an agent that may have to end it.
+constexpr Milliseconds changeLookInterval{100};
+// A deputy takes over after this silence of the coordinator, which asks each rank about every
+// 700 ms, and many times as often during a change; each further deputy somewhat later.
+constexpr Milliseconds silence{1500};
+constexpr Milliseconds changeSilence{400};
+constexpr Milliseconds deputyStep{600};
+constexpr std::uint32_t lastDeputy = 2;
 constexpr Milliseconds linesInterval{100};
 // How long the engine on this machine may take to answer.
 constexpr Milliseconds engineTimeout{120};
@@ -27,6 +37,12 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusNoAnswer = 504;
 
+// Whether the rank has a map that isn't in use yet.
+bool isInChange(const RankView &view)
+{
+    return view.m_armed || view.m_held || (view.m_prepared && *view.m_prepared > view.m_map);
+}
+
 // The agent with everything that it consists of.
 class RankAgentProcess
 {
@@ -51,6 +67,8 @@
     void readExperts(std::function<void()> then);
     void look();
     void coordinate();
+    void noteCoordinator(const std::string &rank);
+    TimePoint takesOverAt() const;
     void takeEndpoints(const std::vector<StoreChange> &changes, bool isList);
     void takeConfiguration(const std::vector<StoreChange> &changes);
     void writeLines();
@@ -73,6 +91,7 @@
     ExpertCounts m_counts;
     RankExperts m_experts;
     CountDifference m_countDifference;
+    TimePoint m_coordinatedAt = Clock::now(); // When an earlier rank's agent last asked.
     bool m_isFollowing = false;
 };
 
@@ -84,7 +103,7 @@
     , m_engineClient(m_loop)
     , m_agentClient(m_loop)
     , m_storeClient(m_loop)
-    , m_coordinator({m_loop, m_agentClient, m_lines, m_metrics},
+    , m_coordinator({m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics},
                     Random(systemSeed()))
     , m_configurationFollower(followerParts(), StoreKind::Configuration,
                               {[this](const auto &changes) { takeConfiguration(changes); },
@@ -169,7 +188,11 @@
 
 void RankAgentProcess::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
-    const std::string &target = exchange->head().m_target;
+    const std::string &asked = exchange->head().m_target;
+    const auto query = asked.find(askedByQuery);
+    const std::string target = asked.substr(0, query);
+    if (query != std::string::npos)
+        noteCoordinator(asked.substr(query + std::string_view(askedByQuery).size()));
     if (target == rankStatusTarget)
         answerStatus(exchange, false);
     else if (target == rankCountsTarget)
@@ -183,6 +206,13 @@
         exchange->answer(404, {}, "");
 }
 
+void RankAgentProcess::noteCoordinator(const std::string &rank)
+{
+    const auto number = readNumber(rank, 0, std::numeric_limits<std::uint32_t>::max());
+    if (number && m_view && *number < m_view->m_rank)
+        m_coordinatedAt = Clock::now();
+}
+
 // The view is read last, so that it is the newest part of the answer.
 void RankAgentProcess::answerStatus(const std::shared_ptr<HttpExchange> &exchange, bool hasCounts)
 {
@@ -207,6 +237,8 @@
         return;
     }
     forward(*message);
+    if (message->m_map)
+        m_coordinator.noteMap(*message->m_map);
     const ExpertMap *map = message->m_map ? &*message->m_map : nullptr;
     askEngine("POST", m_dialects.m_engine.orderTarget(),
               m_dialects.m_engine.writeOrder(message->m_order, map, message->m_ranks),
@@ -232,23 +264,37 @@
 void RankAgentProcess::look()
 {
     readView([this] { coordinate(); });
-    m_loop.callAt(Clock::now() + lookInterval, [this] { look(); });
+    const bool mayTakeOver = m_isFollowing && m_view && isInChange(*m_view);
+    m_loop.callAt(Clock::now() + (mayTakeOver ? changeLookInterval : lookInterval),
+                  [this] { look(); });
 }
 
+// The agents of the first ranks may coordinate: that of rank 0, and each further one while it
+// hasn't been asked by one before it for some time.
 void RankAgentProcess::coordinate()
 {
-    const bool isFirst = m_view && m_view->m_rank == 0 && m_view->m_ranks > 1;
-    if (isFirst && !m_isFollowing) {
+    const bool isCandidate = m_view && m_view->m_ranks > 1 && m_view->m_rank <= lastDeputy;
+    if (isCandidate && !m_isFollowing) {
         m_configurationFollower.start();
         m_endpointFollower.start();
-    } else if (!isFirst && m_isFollowing && m_view) {
+        m_isFollowing = true;
+    } else if (!isCandidate && m_isFollowing && m_view) {
         m_configurationFollower.stop();
         m_endpointFollower.stop();
+        m_isFollowing = false;
     }
-    if (m_view || !m_isFollowing) {
-        m_isFollowing = isFirst;
-        m_coordinator.setGroup(isFirst ? std::optional(m_view->m_group) : std::nullopt);
-    }
+    if (!m_view)
+        return;
+    const std::uint32_t rank = m_view->m_rank;
+    const bool isActing = isCandidate && (rank == 0 || Clock::now() > takesOverAt());
+    m_coordinator.setGroup(isActing ? std::optional(m_view->m_group) : std::nullopt, rank);
+}
+
+TimePoint RankAgentProcess::takesOverAt() const
+{
+    const int deputiesBefore = static_cast<int>(m_view->m_rank) - 1;
+    return m_coordinatedAt + (isInChange(*m_view) ? changeSilence : silence)
+           + deputyStep * deputiesBefore;
 }
 
 void RankAgentProcess::takeEndpoints(const std::vector<StoreChange> &changes, bool isList)
@@ -263,12 +309,13 @@
             m_endpoints.erase(EndpointName(change.m_name));
     }
     // Agents listen on the same port of every machine.
-    std::vector<SocketAddress> agents;
+    std::vector<RankAccess> access;
     for (const auto &[name, entry] : m_endpoints)
-        agents.push_back({entry.m_address.m_host, m_settings.m_agents.m_port});
-    std::sort(agents.begin(), agents.end());
-    agents.erase(std::unique(agents.begin(), agents.end()), agents.end());
-    m_coordinator.setAgents(std::move(agents));
+        access.push_back(
+            {{entry.m_address.m_host, m_settings.m_agents.m_port}, entry.m_address});
+    std::sort(access.begin(), access.end());
+    access.erase(std::unique(access.begin(), access.end()), access.end());
+    m_coordinator.setAccess(std::move(access));
 }
 
 void RankAgentProcess::takeConfiguration(const std::vector<StoreChange> &changes)
--- a/src/burdockhead/rankagent/rankagentprocess.h
+++ b/src/burdockhead/rankagent/rankagentprocess.h
@@ -10,6 +10,7 @@
 constexpr const char *rankStatusTarget = "/rank";
 constexpr const char *rankCountsTarget = "/rank/counts"; // The status with the counts.
 constexpr const char *rankOrderTarget = "/rank/order";
+constexpr const char *askedByQuery = "?by="; // Followed by the rank of the coordinator's agent.
 
 // What a rank's agent speaks with its engine and the platform's store.
 struct RankAgentDialects
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -26,6 +26,10 @@
 constexpr std::size_t countsInRound = 30000;
 // Orders with a map that the coordinator gives itself; further ranks are told by those agents.
 constexpr std::size_t relays = 8;
+// How long an agent that didn't answer is taken for silent, and its engine is asked instead.
+constexpr Milliseconds silencePause{1000};
+// Maps that are remembered by their version: the one in use, and those on their way.
+constexpr std::size_t knownMaps = 4;
 // All ranks are asked at least as often, which shows a hold that was left behind.
 constexpr Milliseconds fullRoundInterval{700};
 // The time in which a change should be loaded, against some seconds between two shifts, and
@@ -67,23 +71,31 @@
         m_demand.emplace(shape->m_layers, shape->m_experts);
 }
 
-void RankCoordinator::setGroup(const std::optional<std::string> &group)
+void RankCoordinator::setGroup(const std::optional<std::string> &group, std::uint32_t ownRank)
 {
     if (m_group == group)
         return;
     m_group = group;
+    m_ownRank = ownRank;
     m_parts.m_lines.add(group ? "coordination_begun" : "coordination_ended",
-                        {{"group", group.value_or("")}});
+                        {{"group", group.value_or("")}, {"rank", std::to_string(ownRank)}});
     m_parts.m_loop.cancel(m_timer);
     m_asking.clear();
     m_ordering.clear();
     m_plan.reset();
     m_ranks.clear();
-    m_rankAgents.clear();
+    m_rankAccess.clear();
     if (group)
         scheduleRound(Milliseconds(0));
 }
 
+void RankCoordinator::noteMap(const ExpertMap &map)
+{
+    m_maps[map.m_version] = map;
+    while (m_maps.size() > knownMaps)
+        m_maps.erase(m_maps.begin());
+}
+
 void RankCoordinator::scheduleRound(Milliseconds pause)
 {
     m_parts.m_loop.cancel(m_timer);
@@ -97,57 +109,100 @@
 {
     m_asking.clear();
     std::erase_if(m_ordering, [](const auto &call) { return call->isDone(); });
-    if (!m_shape || m_agents.empty()) {
+    if (!m_shape || m_access.empty()) {
         scheduleRound(idlePause);
         return;
     }
     const TimePoint now = Clock::now();
-    m_isFullRound = m_plan || m_rankAgents.empty() || now >= m_nextFullRoundAt;
-    const std::vector<SocketAddress> counted = countedAgents();
+    m_isFullRound = m_plan || m_isHolding || m_rankAccess.empty() || now >= m_nextFullRoundAt;
+    const std::vector<RankAccess> counted = countedRanks();
     if (m_isFullRound) {
         m_nextFullRoundAt = now + fullRoundInterval;
         m_ranks.clear();
-        m_rankAgents.clear();
+        m_rankAccess.clear();
     }
-    const std::vector<SocketAddress> &asked = m_isFullRound ? m_agents : counted;
+    const std::vector<RankAccess> asked = m_isFullRound ? m_access : counted;
     m_unanswered = asked.size();
-    for (const SocketAddress &agent : asked) {
-        const bool isCounted = std::find(counted.begin(), counted.end(), agent) != counted.end();
-        m_asking.push_back(std::make_unique<AgentCall>(
-            m_parts.m_loop, m_parts.m_client, agent, "GET",
-            isCounted ? rankCountsTarget : rankStatusTarget, "", now + statusTimeout,
-            [this](AgentCall &call) { answered(call); }));
+    for (const RankAccess &access : asked) {
+        const auto silent = m_silentUntil.find(access.m_agent);
+        if (silent != m_silentUntil.end() && now < silent->second)
+            askEngine(access);
+        else
+            ask(access, std::find(counted.begin(), counted.end(), access) != counted.end());
+    }
+}
+
+void RankCoordinator::ask(const RankAccess &access, bool hasCounts)
+{
+    const std::string target = std::string(hasCounts ? rankCountsTarget : rankStatusTarget)
+                               + askedByQuery + std::to_string(m_ownRank);
+    m_asking.push_back(std::make_unique<AgentCall>(
+        m_parts.m_loop, m_parts.m_client, access.m_agent, "GET", target, "",
+        Clock::now() + statusTimeout,
+        [this, access](AgentCall &call) { answered(access, call); }));
+}
+
+void RankCoordinator::askEngine(const RankAccess &access)
+{
+    if (!m_isFullRound) {
+        oneLessUnanswered();
+        return;
     }
+    m_asking.push_back(std::make_unique<AgentCall>(
+        m_parts.m_loop, m_parts.m_client, access.m_engine, "GET", m_parts.m_dialect.viewTarget(),
+        "", Clock::now() + statusTimeout,
+        [this, access](AgentCall &call) { engineAnswered(access, call); }));
 }
 
-// The agents of the first few ranks that answered in the last full round.
-std::vector<SocketAddress> RankCoordinator::countedAgents() const
+// The first few ranks that answered in the last full round.
+std::vector<RankAccess> RankCoordinator::countedRanks() const
 {
     const std::size_t countsOfRank = std::max(1U, m_shape->m_layers * m_shape->m_experts);
     const std::size_t most = std::max<std::size_t>(1, countsInRound / countsOfRank);
-    std::vector<SocketAddress> agents;
-    for (const auto &[rank, agent] : m_rankAgents) {
-        if (agents.size() < most)
-            agents.push_back(agent);
+    std::vector<RankAccess> counted;
+    for (const auto &[rank, access] : m_rankAccess) {
+        if (counted.size() < most)
+            counted.push_back(access);
     }
-    return agents;
+    return counted;
 }
 
-void RankCoordinator::answered(const AgentCall &call)
+void RankCoordinator::answered(const RankAccess &access, const AgentCall &call)
 {
     const auto status =
         call.status() == statusOk ? readRankStatus(call.body()) : std::optional<RankStatus>();
-    if (status && status->m_view.m_group == m_group) {
+    if (!status) {
+        m_silentUntil[access.m_agent] = Clock::now() + silencePause;
+        askEngine(access);
+        return;
+    }
+    if (status->m_view.m_group == m_group) {
         const std::uint32_t rank = status->m_view.m_rank;
         if (m_demand)
             m_demand->add(status->m_counts);
         if (m_isFullRound) {
-            m_rankAgents[rank] = call.address();
+            m_rankAccess[rank] = access;
             m_ranks[rank] = *status;
         } else if (rank == 0) {
             m_ranks[rank].m_view.m_step = status->m_view.m_step;
         }
     }
+    oneLessUnanswered();
+}
+
+void RankCoordinator::engineAnswered(const RankAccess &access, const AgentCall &call)
+{
+    const auto view = call.status() == statusOk ? m_parts.m_dialect.readView(call.body())
+                                                : std::optional<RankView>();
+    if (view && view->m_group == m_group) {
+        m_rankAccess[view->m_rank] = access;
+        m_ranks[view->m_rank] = {*view, {}, {}};
+    }
+    oneLessUnanswered();
+}
+
+void RankCoordinator::oneLessUnanswered()
+{
     if (--m_unanswered == 0)
         // From the loop, since the calls are destroyed by the next round.
         m_parts.m_loop.post([this] { endRound(); });
@@ -161,10 +216,13 @@
     return views;
 }
 
-// The map that the ranks use, put together from what each holds; none when they are in the
-// midst of a change.
+// The map that the ranks use, known by its version or put together from what each holds; none
+// when they are in the midst of a change.
 std::optional<ExpertMap> RankCoordinator::mapInUse() const
 {
+    const auto known = m_maps.find(m_ranks.begin()->second.m_view.m_map);
+    if (known != m_maps.end())
+        return known->second;
     ExpertMap map;
     map.m_layers.assign(m_shape->m_layers, LayerPlacement(m_shape->m_experts));
     for (const auto &[rank, status] : m_ranks) {
@@ -225,6 +283,10 @@
 void RankCoordinator::decide()
 {
     const auto now = views();
+    if (now.empty() || now.size() != now.front().m_ranks)
+        m_parts.m_lines.add("round_incomplete", {{"group", *m_group},
+                                                 {"answered", std::to_string(now.size())},
+                                                 {"asked", std::to_string(m_access.size())}});
     if (m_plan && !now.empty() && now.front().m_epoch != m_plan->m_epoch)
         m_plan.reset();
     if (!m_plan && Clock::now() >= m_nextPlanAt)
@@ -251,7 +313,7 @@
     else if (m_plan)
         scheduleRound(changePause
                       + Milliseconds(static_cast<int>(pauseForRankMilliseconds
-                                                      * static_cast<double>(m_agents.size()))));
+                                                      * static_cast<double>(m_access.size()))));
     else
         scheduleRound(isMakingSteps() ? busyPause : idlePause);
 }
@@ -274,6 +336,7 @@
     // load one may be carried out after the process that gave it has started again.
     planned->m_version = std::max(MapRollout::nextVersion(views), newIncarnation().m_value);
     m_plan = Plan{std::move(*planned), views.front().m_epoch};
+    noteMap(m_plan->m_map);
     m_prepareAgainAt.clear();
     m_parts.m_lines.add(
         "map_planned",
@@ -285,13 +348,19 @@
          {"forced", isForced ? "yes" : "no"}});
 }
 
+bool RankCoordinator::isSilent(std::uint32_t rank) const
+{
+    const auto silent = m_silentUntil.find(m_rankAccess.at(rank).m_agent);
+    return silent != m_silentUntil.end() && Clock::now() < silent->second;
+}
+
 void RankCoordinator::give(const std::vector<RankOrder> &orders)
 {
     const TimePoint now = Clock::now();
     std::vector<RankOrderMessage> messages;
     std::vector<RankOrderMessage> withMap;
     for (const RankOrder &order : orders) {
-        if (!m_rankAgents.contains(order.m_rank))
+        if (!m_rankAccess.contains(order.m_rank))
             continue;
         RankOrderMessage message = {order, static_cast<std::uint32_t>(m_ranks.size()), {}, {}};
         if (order.m_type != RankOrderType::Prepare) {
@@ -302,12 +371,12 @@
         if (now < again || !m_plan)
             continue;
         again = now + prepareAgainAfter;
-        if (withMap.size() < relays) {
+        if (withMap.size() < relays || isSilent(order.m_rank)) {
             message.m_map = m_plan->m_map;
             withMap.push_back(std::move(message));
         } else {
-            RankOrderMessage &relay = withMap[order.m_rank % relays];
-            relay.m_forwardTo.push_back({order.m_rank, m_rankAgents.at(order.m_rank)});
+            RankOrderMessage &relay = withMap[order.m_rank % withMap.size()];
+            relay.m_forwardTo.push_back({order.m_rank, m_rankAccess.at(order.m_rank).m_agent});
         }
     }
     messages.insert(messages.end(), withMap.begin(), withMap.end());
@@ -318,9 +387,15 @@
 void RankCoordinator::give(const RankOrderMessage &message, TimePoint deadline)
 {
     const RankOrder order = message.m_order;
+    const RankAccess &access = m_rankAccess.at(order.m_rank);
+    const ExpertMap *map = message.m_map ? &*message.m_map : nullptr;
+    const bool isDirect = isSilent(order.m_rank);
     m_ordering.push_back(std::make_unique<AgentCall>(
-        m_parts.m_loop, m_parts.m_client, m_rankAgents.at(order.m_rank), "POST", rankOrderTarget,
-        writeRankOrder(message), deadline, [this, order](AgentCall &call) {
+        m_parts.m_loop, m_parts.m_client, isDirect ? access.m_engine : access.m_agent, "POST",
+        isDirect ? m_parts.m_dialect.orderTarget() : rankOrderTarget,
+        isDirect ? m_parts.m_dialect.writeOrder(order, map, message.m_ranks)
+                 : writeRankOrder(message),
+        deadline, [this, order](AgentCall &call) {
             if (order.m_type == RankOrderType::Prepare && call.status() >= firstFailureStatus)
                 m_prepareAgainAt.erase(order.m_rank);
             m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -24,12 +24,24 @@
 {
     EventLoop &m_loop;
     HttpClientPool &m_client;
+    const EngineDialect &m_dialect;
     LineSink &m_lines;
     Metrics &m_metrics;
 };
 
-// Evens out a group's load by changing its expert map. Runs in the agent beside rank 0 only,
-// so there is one for each group, and the order to hold the group never crosses the network.
+// Where a rank is asked and told things: by its agent, or at its engine while the agent is
+// silent.
+struct RankAccess
+{
+    SocketAddress m_agent;
+    SocketAddress m_engine;
+
+    friend auto operator<=>(const RankAccess &, const RankAccess &) = default;
+};
+
+// Evens out a group's load by changing its expert map. Runs in the agent beside rank 0, so that
+// the order to hold the group doesn't cross the network, or, while that one is silent, in a
+// deputy. Two that run at a time do no harm, see MapRollout.
 class RankCoordinator
 {
 public:
@@ -38,12 +50,15 @@
     RankCoordinator(const RankCoordinator &) = delete;
     RankCoordinator &operator=(const RankCoordinator &) = delete;
 
-    // Where the agents of the service's endpoints are asked.
-    void setAgents(std::vector<SocketAddress> agents) { m_agents = std::move(agents); }
+    // Where the service's endpoints are asked.
+    void setAccess(std::vector<RankAccess> access) { m_access = std::move(access); }
     void setShape(const std::optional<ExpertShape> &shape);
 
-    // Whether this agent's rank is rank 0 of a group, from its own view.
-    void setGroup(const std::optional<std::string> &group);
+    // Begins to coordinate a group from a rank's agent, or ends it.
+    void setGroup(const std::optional<std::string> &group, std::uint32_t ownRank);
+
+    // A map that some coordinator has had ranks prepare.
+    void noteMap(const ExpertMap &map);
 
 private:
     struct Plan
@@ -54,27 +69,35 @@
 
     void scheduleRound(Milliseconds pause);
     void startRound();
-    void answered(const AgentCall &call);
+    void ask(const RankAccess &access, bool hasCounts);
+    void askEngine(const RankAccess &access);
+    void answered(const RankAccess &access, const AgentCall &call);
+    void engineAnswered(const RankAccess &access, const AgentCall &call);
+    void oneLessUnanswered();
     void endRound();
     std::vector<RankView> views() const;
     std::optional<ExpertMap> mapInUse() const;
-    std::vector<SocketAddress> countedAgents() const;
+    std::vector<RankAccess> countedRanks() const;
     bool isMakingSteps();
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
     void give(const RankOrderMessage &message, TimePoint deadline);
+    bool isSilent(std::uint32_t rank) const;
 
     CoordinatorParts m_parts;
     Random m_random;
-    std::vector<SocketAddress> m_agents;
+    std::vector<RankAccess> m_access;
+    std::map<SocketAddress, TimePoint> m_silentUntil; // Agents that didn't answer.
+    std::uint32_t m_ownRank = 0;
+    std::map<std::uint64_t, ExpertMap> m_maps; // By version; the one in use and later ones.
     std::optional<ExpertShape> m_shape;
     std::optional<std::string> m_group;
     std::optional<ExpertDemand> m_demand;
     MapRollout m_rollout;
     std::optional<Plan> m_plan;
-    std::map<std::uint32_t, RankStatus> m_ranks;         // Of the last full round.
-    std::map<std::uint32_t, SocketAddress> m_rankAgents; // Of the last full round.
+    std::map<std::uint32_t, RankStatus> m_ranks;      // Of the last full round.
+    std::map<std::uint32_t, RankAccess> m_rankAccess; // Of the last full round.
     bool m_isFullRound = true; // All ranks are asked, not only those whose counts are read.
     TimePoint m_nextFullRoundAt;
     std::vector<std::unique_ptr<AgentCall>> m_asking;
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -94,9 +94,9 @@
     }
 }
 
-void GroupSimulation::give(const RankOrder &order)
+void GroupSimulation::give(const RankOrder &order, std::uint64_t content)
 {
-    const Pending pending = {order, m_content};
+    const Pending pending = {order, content};
     const double fate = chance();
     if (fate < m_faults.m_dropped)
         return;
@@ -135,22 +135,24 @@
 
 void GroupSimulation::round()
 {
-    const std::vector<RankView> now =
-        !m_oldViews.empty() && chance() < m_faults.m_paused ? m_oldViews : views();
-    m_oldViews = views();
-    if (!m_planned) {
+    Coordinator &coordinator = m_coordinators[m_random() % m_coordinators.size()];
+    const bool isPaused = !coordinator.m_oldViews.empty() && chance() < m_faults.m_paused;
+    const std::vector<RankView> now = isPaused ? coordinator.m_oldViews : views();
+    if (!isPaused || m_random() % 4 == 0)
+        coordinator.m_oldViews = views();
+    if (!coordinator.m_planned) {
         m_versions = std::max(m_versions, MapRollout::nextVersion(now)) + 1;
-        m_planned = m_versions;
-        ++m_content;
+        coordinator.m_planned = m_versions;
+        coordinator.m_content = ++m_content;
     }
-    const RolloutStep step = m_next(now, m_planned);
+    const RolloutStep step = coordinator.m_next(now, coordinator.m_planned);
     if (step.m_needsPlan || step.m_isDone) {
         m_mapChanges += step.m_isDone ? 1 : 0;
-        m_planned.reset();
+        coordinator.m_planned.reset();
         return;
     }
     for (const RankOrder &order : step.m_orders) {
-        give(order);
+        give(order, coordinator.m_content);
         if (m_random() % 2 == 0)
             tick();
     }
@@ -158,12 +160,12 @@
 
 void GroupSimulation::run(std::size_t rounds, const std::function<NextOrders()> &makeCoordinator)
 {
-    m_next = makeCoordinator();
+    m_coordinators.resize(m_faults.m_coordinators);
+    for (Coordinator &coordinator : m_coordinators)
+        coordinator = {makeCoordinator(), {}, 0, {}};
     for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
-        if (chance() < m_faults.m_restart) {
-            m_next = makeCoordinator();
-            m_planned.reset();
-        }
+        if (chance() < m_faults.m_restart)
+            m_coordinators[m_random() % m_coordinators.size()] = {makeCoordinator(), {}, 0, {}};
         round();
         for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
             tick();
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -19,6 +19,7 @@
     double m_dropped = 0;    // Orders that never arrive.
     double m_restart = 0;    // Rounds after which the coordinator starts anew.
     double m_paused = 0;     // Rounds whose views are old when their orders are given.
+    std::size_t m_coordinators = 1; // That act side by side, as when one wakes from a freeze.
 };
 
 // Gives the next orders; planned is the version that the coordinator wants.
@@ -60,6 +61,15 @@
         std::uint64_t m_highestVersion = 0;
     };
 
+    // One that gives orders, with what it remembers.
+    struct Coordinator
+    {
+        NextOrders m_next;
+        std::optional<std::uint64_t> m_planned;
+        std::uint64_t m_content = 0;
+        std::vector<RankView> m_oldViews;
+    };
+
     struct Pending
     {
         RankOrder m_order;
@@ -70,7 +80,7 @@
     void tick();
     void beginStep();
     void carryOut(const Pending &pending);
-    void give(const RankOrder &order);
+    void give(const RankOrder &order, std::uint64_t content);
     std::vector<RankView> views() const;
     void round();
 
@@ -81,10 +91,8 @@
     std::optional<std::uint64_t> m_held;
     std::size_t m_now = 0;
     std::multimap<std::size_t, Pending> m_late;
-    std::vector<RankView> m_oldViews;
-    NextOrders m_next;
-    std::optional<std::uint64_t> m_planned;
-    std::uint64_t m_content = 0; // Of the planned map; another one for each plan.
+    std::vector<Coordinator> m_coordinators;
+    std::uint64_t m_content = 0; // Of the last plan; another one for each.
     std::uint64_t m_versions = 0;
     bool m_hasSplit = false;
     std::size_t m_mapChanges = 0;
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -64,6 +64,8 @@
 const GroupFaults lateOrders = {0.2, 0.3, 0.05, 0, 0};
 const GroupFaults restarts = {0.1, 0.2, 0.05, 0.05, 0};
 const GroupFaults everything = {0.2, 0.3, 0.1, 0.03, 0.1};
+const GroupFaults twoCoordinators = {0, 0, 0, 0, 0.3, 2};
+const GroupFaults everythingTwice = {0.2, 0.3, 0.1, 0.03, 0.3, 2};
 
 std::size_t splits(const GroupFaults &faults, const std::function<NextOrders()> &make)
 {
@@ -103,12 +105,20 @@
     BOOST_TEST(splits(everything, makeRollout) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_two_coordinators_one_of_which_wakes_from_a_freeze)
+{
+    BOOST_TEST(splits(twoCoordinators, makeRollout) == 0U);
+    BOOST_TEST(splits(everythingTwice, makeRollout) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_group_that_faults_left_held_goes_on)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        GroupSimulation group(ranks, everything, seed);
-        group.run(rounds, makeRollout);
-        BOOST_TEST(group.recovers(makeRollout), "seed " << seed);
+    for (const GroupFaults &faults : {everything, everythingTwice}) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            GroupSimulation group(ranks, faults, seed);
+            group.run(rounds, makeRollout);
+            BOOST_TEST(group.recovers(makeRollout), "seed " << seed);
+        }
     }
 }
 
