--- a/src/burdockhead/operators/commandline.cpp
+++ b/src/burdockhead/operators/commandline.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/operators/commandline.h>
 #include <burdockhead/operators/configurationcommands.h>
 #include <burdockhead/operators/exitcode.h>
+#include <burdockhead/operators/explaincommand.h>
 #include <burdockhead/operators/processcommands.h>
 #include <burdockhead/operators/timelinecommand.h>
 
@@ -147,6 +148,13 @@
          1,
          1,
          runBringBackCommand},
+        {"explain",
+         "REQUEST LOG-FILE...",
+         "Prints the way of one request from the logs of all processes",
+         {},
+         2,
+         anyNumber,
+         runExplainCommand},
         {"timeline",
          "",
          "Prints one merged time line of events from all processes",
