--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -26,6 +26,10 @@
 constexpr Milliseconds shortestComeBack{100};
 constexpr Milliseconds longestComeBack{2500};
 constexpr int firstFailureStatus = 500;
+// Another endpoint has the address, and how long it isn't tried again: the time in which
+// service discovery learns of it.
+constexpr int misdirectedStatus = 421;
+constexpr Milliseconds misdirectedPause{2000};
 
 Milliseconds inMilliseconds(Duration span)
 {
@@ -379,14 +383,16 @@
 void CallFlow::notRun()
 {
     const TimePoint now = Clock::now();
-    ++m_attempts;
-    m_router.gate(m_service).noteRefused(now);
-    const bool isOther = m_answerHead->m_status == 421;
-    // Its address belongs to another endpoint now; discovery will tell.
-    if (isOther)
-        m_endpoint->m_breaker.suspendUntil(now + Milliseconds(2000));
+    const bool isOther = m_answerHead->m_status == misdirectedStatus;
+    if (isOther) {
+        // The endpoint is gone and never got the request; discovery will tell.
+        m_endpoint->m_breaker.suspendUntil(now + misdirectedPause);
+    } else {
+        ++m_attempts;
+        m_router.gate(m_service).noteRefused(now);
+    }
     releaseEndpoint(false);
-    if (tryAgain("endpoint refused"))
+    if (tryAgain(isOther ? "another endpoint has the address" : "endpoint refused"))
         return;
     if (m_exchange->hasStarted() || m_mayHaveRun)
         fail(ErrorKind::EndpointFailed, "endpoint refused");
--- /dev/null
+++ b/tests/soak/faultyproxy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <burdockhead/base/socketaddress.h>
+#include <burdockhead/net/eventloop.h>
+
+#include <memory>
+
+namespace burdockhead::test {
+
+// What a proxy does with the bytes that come through.
+enum class ProxyMode {
+    Pass,
+    Silent,       // Keeps connections open and drops everything.
+    DropAnswers,  // Lets requests through and drops what comes back.
+    Refuse,       // Closes each new connection at once.
+};
+
+// A loopback proxy before a server, which harms the connections through it on order.
+class FaultyProxy
+{
+public:
+    FaultyProxy(EventLoop &loop, const SocketAddress &target);
+    ~FaultyProxy();
+    FaultyProxy(const FaultyProxy &) = delete;
+    FaultyProxy &operator=(const FaultyProxy &) = delete;
+
+    const SocketAddress &address() const;
+
+    void setMode(ProxyMode mode);
+
+    // Closes all connections that are open now.
+    void resetAll();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_d;
+};
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,68 @@
+#include "soakworld.h"
+
+#include <charconv>
+#include <iostream>
+#include <optional>
+
+using namespace burdockhead;
+using namespace burdockhead::test;
+
+namespace {
+
+// The time without faults at the end, in which service has to be back.
+constexpr Milliseconds calm{7000};
+// The last part of it, and what has to be served there.
+constexpr Milliseconds judged{2000};
+constexpr double leastServed = 0.9;
+
+std::optional<std::uint64_t> flag(int count, char **arguments, const std::string &name)
+{
+    for (int index = 1; index < count; ++index) {
+        const std::string_view argument = arguments[index];
+        if (!argument.starts_with(name))
+            continue;
+        std::uint64_t value = 0;
+        const auto digits = argument.substr(name.size());
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), value).ec == std::errc())
+            return value;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    const std::uint64_t seed = flag(count, arguments, "--seed=").value_or(1);
+    const Milliseconds span = Seconds(flag(count, arguments, "--seconds=").value_or(20));
+    const std::size_t gateways = flag(count, arguments, "--gateways=").value_or(3);
+    const auto folder = std::filesystem::temp_directory_path()
+                        / ("soak-" + std::to_string(seed) + "-" + std::to_string(getpid()));
+    const std::vector<Fault> faults = planSoak(seed, span, calm);
+    std::vector<std::string> violations;
+    {
+        SoakWorld world(seed, gateways, folder);
+        world.run(faults, span);
+        violations = world.book().violations();
+        const double served =
+            world.book().servedSince(world.startedAt() + span - judged, world.credential());
+        if (served < leastServed)
+            violations.push_back("after the last fault only " + std::to_string(served)
+                                 + " of the requests were served");
+        std::cout << "seed " << seed << ": " << faults.size() << " faults, "
+                  << world.book().requests() << " requests, " << world.book().served()
+                  << " served, at the end " << served << ", " << violations.size()
+                  << " promises broken\n";
+    }
+    if (violations.empty()) {
+        std::filesystem::remove_all(folder);
+        return 0;
+    }
+    for (const Fault &fault : faults)
+        std::cout << "  " << fault.toString() << "\n";
+    for (const std::string &violation : violations)
+        std::cout << "  broken: " << violation << "\n";
+    std::cout << "logs are in " << folder << "; again: build/soak --seed=" << seed
+              << " --seconds=" << span.count() / 1000 << " --gateways=" << gateways << "\n";
+    return 1;
+}
--- /dev/null
+++ b/tests/soak/requestbook.cpp
@@ -0,0 +1,99 @@
+#include "requestbook.h"
+
+#include <burdockhead/http/httprequest.h>
+
+#include <algorithm>
+
+namespace burdockhead::test {
+
+namespace {
+
+bool promisesNotRun(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+bool mayRunOnce(const std::string &path)
+{
+    return path.starts_with("/unsafe/") || path.starts_with("/stream/once/");
+}
+
+} // namespace
+
+void RequestBook::note(const ClientOutcome &outcome)
+{
+    m_outcomes.push_back(outcome);
+}
+
+void RequestBook::noteRun(const std::string &endpoint, const RanRequest &request)
+{
+    const auto value = [&](const char *name) {
+        return findHeader(request.m_head.m_headers, name).value_or("");
+    };
+    m_runs[value("X-Request-Id")].push_back(endpoint);
+    if (!value("Authorization").empty() || value("X-Tenant") != "w")
+        m_leaks.push_back(value("X-Request-Id"));
+}
+
+void RequestBook::noteRevoked(const std::string &credential, TimePoint inForceBy,
+                              TimePoint calmUntil)
+{
+    m_revocations.push_back({credential, inForceBy, calmUntil});
+}
+
+void RequestBook::check(const ClientOutcome &outcome, std::vector<std::string> &found) const
+{
+    const auto runs = m_runs.find(outcome.m_id);
+    const std::size_t count = runs == m_runs.end() ? 0 : runs->second.size();
+    const std::string name = outcome.m_id + " " + outcome.m_path;
+    if (mayRunOnce(outcome.m_path) && count > 1)
+        found.push_back("ran more than once: " + name);
+    if (mayRunOnce(outcome.m_path) && promisesNotRun(outcome.m_status) && count > 0)
+        found.push_back("refused as not run, and ran: " + name);
+    if (outcome.m_status != 200 || !outcome.m_isWhole)
+        return;
+    if (!outcome.m_signature.ends_with("." + outcome.m_id))
+        found.push_back("answer of another request: " + name);
+    const bool isStream = outcome.m_path.starts_with("/stream/");
+    if (isStream
+        && outcome.m_body != EndpointStandIn::events(1, EndpointStandIn::lastEvent))
+        found.push_back("stream that lacks or repeats events: " + name);
+    for (const Revocation &revocation : m_revocations) {
+        if (outcome.m_credential == revocation.m_credential
+            && outcome.m_sentAt >= revocation.m_inForceBy
+            && outcome.m_sentAt < revocation.m_calmUntil)
+            found.push_back("served with a revoked credential: " + name);
+    }
+}
+
+std::vector<std::string> RequestBook::violations() const
+{
+    std::vector<std::string> found;
+    for (const ClientOutcome &outcome : m_outcomes)
+        check(outcome, found);
+    for (const std::string &id : m_leaks)
+        found.push_back("credential or workspace of the client reached an endpoint: " + id);
+    return found;
+}
+
+double RequestBook::servedSince(TimePoint since, const std::string &credential) const
+{
+    double sent = 0;
+    double served = 0;
+    for (const ClientOutcome &outcome : m_outcomes) {
+        if (outcome.m_sentAt < since || outcome.m_credential != credential)
+            continue;
+        ++sent;
+        served += outcome.m_status == 200 && outcome.m_isWhole ? 1 : 0;
+    }
+    return sent > 0 ? served / sent : 0;
+}
+
+std::size_t RequestBook::served() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_outcomes.begin(), m_outcomes.end(),
+        [](const ClientOutcome &outcome) { return outcome.m_status == 200 && outcome.m_isWhole; }));
+}
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/soak/soakplan.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <burdockhead/base/random.h>
+#include <burdockhead/base/timepoint.h>
+
+#include <string>
+#include <vector>
+
+namespace burdockhead::test {
+
+// What happens in a soak. Each lasts for its time and is undone then.
+enum class FaultType {
+    KillGateway,
+    StopGateway,  // SIGTERM; it starts again when it has ended.
+    PauseGateway, // SIGSTOP, then SIGCONT.
+    ReloadGateway,
+    SilenceStore,
+    RefuseStore,
+    ForgetStore,
+    CutStore,     // The proxies before the store drop everything, or answers only.
+    EndpointMisbehaves,
+    SilenceEndpoint,
+    DropAnswers,
+    ResetEndpoint,
+    ReplaceEndpoint, // Another endpoint has its address.
+    LeaveEndpoint,
+    TakeOut,         // Its data centre.
+    ChangeConfiguration,
+    RevokeCredential,
+};
+
+constexpr int faultTypes = static_cast<int>(FaultType::RevokeCredential) + 1;
+
+const char *toString(FaultType type);
+
+// One fault: when it begins and ends, from the start of the soak, and on which of the things
+// that fit.
+struct Fault
+{
+    FaultType m_type = FaultType::KillGateway;
+    Milliseconds m_at{0};
+    Milliseconds m_for{0};
+    unsigned m_which = 0;
+
+    std::string toString() const;
+};
+
+// The faults of a seed, in the order of their begin; they come in series and overlap. None
+// begins in the last `calm` of the span.
+std::vector<Fault> planSoak(std::uint64_t seed, Milliseconds span, Milliseconds calm);
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/soak/soakworld.cpp
@@ -0,0 +1,367 @@
+#include "soakworld.h"
+
+#include "freeport.h"
+#include <burdockhead/http/httprequest.h>
+#include <burdockhead/net/httpwriting.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+
+namespace burdockhead::test {
+
+namespace {
+
+constexpr std::size_t endpointsOfService = 3;
+constexpr Milliseconds betweenCalls{20};
+constexpr Milliseconds patience{3000};
+constexpr Milliseconds housekeeping{50};
+constexpr std::array<const char *, 4> paths = {"/stream/x", "/stream/once/x", "/safe/x",
+                                               "/unsafe/x"};
+constexpr std::array<Misbehaviour, 7> misbehaviours = {
+    Misbehaviour::Refuse, Misbehaviour::LoseAnswer, Misbehaviour::BreakStream,
+    Misbehaviour::Foreign, Misbehaviour::Fail, Misbehaviour::Hang, Misbehaviour::SkipEvent};
+
+std::string configuration(int version, const std::string &credential)
+{
+    const auto route = [](const char *name, const char *prefix, const char *rest) {
+        return std::string(R"({"name":")") + name + R"(","host":"h.example","pathPrefix":")"
+               + prefix + R"(","timeoutMs":3000,"goalMs":500,"priority":1,)" + rest + "}";
+    };
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+           + route("s", "/stream/",
+                   R"("routeType":"streaming","service":"llm","maxAttempts":2,"streamResume":true)")
+           + ","
+           + route("o", "/stream/once/",
+                   R"("routeType":"streaming","service":"llm","maxAttempts":1)")
+           + ","
+           + route("g", "/safe/", R"("routeType":"safe","service":"app","maxAttempts":2)") + ","
+           + route("u", "/unsafe/", R"("routeType":"unsafe","service":"app","maxAttempts":1)")
+           + R"(],"services":[{"name":"llm","coldPerS":1000.0,"engine":{"slots":4}},)"
+             R"({"name":"app","coldPerS":0.0}],"limits":{},"tenants":[{"name":"w","apiKeys":[")"
+           + credential + R"("]}]})";
+}
+
+} // namespace
+
+// One client's request.
+class SoakCall : private HttpCallObserver
+{
+public:
+    SoakCall(EventLoop &loop, HttpClientPool &pool, const SocketAddress &gateway,
+             ClientOutcome outcome, std::function<void(SoakCall &)> done)
+        : m_loop(loop)
+        , m_outcome(std::move(outcome))
+        , m_done(std::move(done))
+    {
+        const HttpHeaders headers = {{"Host", "h.example"},
+                                     {"X-Request-Id", m_outcome.m_id},
+                                     {"X-Deadline-Ms", std::to_string(patience.count())},
+                                     {"X-Tenant", "forged"},
+                                     {"Authorization", "Token " + m_outcome.m_credential},
+                                     {"Content-Length", "0"}};
+        const char *method = m_outcome.m_path.starts_with("/safe/") ? "GET" : "POST";
+        m_call = pool.call(gateway, requestHead(method, m_outcome.m_path, headers),
+                           {Clock::now() + Milliseconds(500), Milliseconds(0), false}, *this);
+        m_timer = loop.callAt(Clock::now() + patience, [this] {
+            m_timer = 0;
+            m_call.reset();
+            m_isOver = true;
+            m_done(*this);
+        });
+    }
+    ~SoakCall() { m_loop.cancel(m_timer); }
+    SoakCall(const SoakCall &) = delete;
+    SoakCall &operator=(const SoakCall &) = delete;
+
+    const ClientOutcome &outcome() const { return m_outcome; }
+    bool isOver() const { return m_isOver; }
+
+private:
+    void callHead(const HttpHead &head) override
+    {
+        m_outcome.m_status = head.m_status;
+        m_outcome.m_signature = findHeader(head.m_headers, "X-Response-Seal").value_or("");
+    }
+    void callBody(std::string_view bytes) override { m_outcome.m_body.append(bytes); }
+    void callEnded(CallEnd end) override
+    {
+        m_outcome.m_isWhole = end == CallEnd::Complete;
+        m_loop.cancel(m_timer);
+        m_isOver = true;
+        m_done(*this);
+    }
+
+    EventLoop &m_loop;
+    ClientOutcome m_outcome;
+    std::function<void(SoakCall &)> m_done;
+    std::unique_ptr<HttpCall> m_call;
+    TimerId m_timer = 0;
+    bool m_isOver = false;
+};
+
+SoakWorld::SoakWorld(std::uint64_t seed, std::size_t gateways, const std::filesystem::path &folder)
+    : m_random(seed)
+    , m_folder(folder)
+    , m_storeProxy(m_loop, m_store.address())
+    , m_gateways(gateways)
+{
+    std::filesystem::create_directories(m_folder);
+    for (const std::string service : {"llm", "app"}) {
+        for (std::size_t number = 0; number < endpointsOfService; ++number) {
+            Endpoint endpoint;
+            endpoint.m_id = service + "-" + std::to_string(number);
+            endpoint.m_standIn =
+                std::make_unique<EndpointStandIn>(m_loop, endpoint.m_id, service);
+            endpoint.m_standIn->setDelay(Milliseconds(10));
+            endpoint.m_proxy =
+                std::make_unique<FaultyProxy>(m_loop, endpoint.m_standIn->address());
+            registerEndpoint(endpoint, "ready");
+            m_endpoints.push_back(std::move(endpoint));
+        }
+    }
+    putConfiguration();
+    for (Gateway &gateway : m_gateways) {
+        gateway.m_clients = freeLoopbackAddress();
+        gateway.m_peers = freeLoopbackAddress();
+    }
+    for (std::size_t number = 0; number < m_gateways.size(); ++number) {
+        writeSettings(m_gateways[number], number);
+        startGateway(m_gateways[number]);
+    }
+}
+
+SoakWorld::~SoakWorld() = default;
+
+void SoakWorld::writeSettings(Gateway &gateway, std::size_t number)
+{
+    const std::string name = "g" + std::to_string(number);
+    gateway.m_settings = m_folder / (name + ".ini");
+    gateway.m_log = m_folder / (name + ".log");
+    std::ofstream(gateway.m_settings)
+        << "[process]\nname = " << name << "\ndata_centre = a\n[listen]\nclients = "
+        << gateway.m_clients.toString() << "\nreadiness = " << freeLoopbackAddress().toString()
+        << "\ndirectory = " << freeLoopbackAddress().toString()
+        << "\npeers = " << gateway.m_peers.toString()
+        << "\nmetrics = " << freeLoopbackAddress().toString()
+        << "\n[store]\naddress = " << m_storeProxy.address().toString()
+        << "\n[seeds]\npeers = " << m_gateways.front().m_peers.toString()
+        << "\n[bounds]\nstop_grace_s = 5\n";
+}
+
+void SoakWorld::startGateway(Gateway &gateway)
+{
+    gateway.m_process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
+                                 "--settings=" + gateway.m_settings},
+        gateway.m_log);
+    gateway.m_isDown = false;
+}
+
+// The entry names the proxy's address, and the registered id stays when the endpoint behind the
+// address is replaced.
+void SoakWorld::registerEndpoint(const Endpoint &endpoint, const std::string &state)
+{
+    std::string entry = endpoint.m_standIn->entry(state);
+    const std::string own = endpoint.m_standIn->address().toString();
+    entry.replace(entry.find(own), own.size(), endpoint.m_proxy->address().toString());
+    m_store.put("servers", endpoint.m_id, entry);
+}
+
+void SoakWorld::putConfiguration()
+{
+    m_store.put("config", "main", configuration(m_version, m_credential));
+}
+
+void SoakWorld::beginAtGateway(const Fault &fault, Gateway &gateway)
+{
+    if (gateway.m_isDown || gateway.m_isPaused || !gateway.m_process->running())
+        return;
+    switch (fault.m_type) {
+    case FaultType::KillGateway:
+        gateway.m_process->kill();
+        gateway.m_isDown = true;
+        break;
+    case FaultType::StopGateway:
+        gateway.m_process->signal(SIGTERM);
+        break;
+    case FaultType::PauseGateway:
+        gateway.m_process->signal(SIGSTOP);
+        gateway.m_isPaused = true;
+        break;
+    default:
+        gateway.m_process->signal(SIGHUP);
+        break;
+    }
+}
+
+void SoakWorld::beginAtStore(const Fault &fault)
+{
+    switch (fault.m_type) {
+    case FaultType::SilenceStore:
+        m_store.setSilent(true);
+        break;
+    case FaultType::RefuseStore:
+        m_store.setRefusal(fault.m_which % 2 == 0 ? 503 : 429);
+        break;
+    case FaultType::ForgetStore:
+        m_store.setDeaf(true);
+        break;
+    default:
+        m_storeProxy.setMode(fault.m_which % 2 == 0 ? ProxyMode::Silent : ProxyMode::DropAnswers);
+        break;
+    }
+}
+
+void SoakWorld::beginAtEndpoint(const Fault &fault, Endpoint &endpoint)
+{
+    switch (fault.m_type) {
+    case FaultType::EndpointMisbehaves:
+        endpoint.m_standIn->misbehave(misbehaviours[fault.m_which % misbehaviours.size()]);
+        break;
+    case FaultType::SilenceEndpoint:
+        endpoint.m_proxy->setMode(ProxyMode::Silent);
+        break;
+    case FaultType::DropAnswers:
+        endpoint.m_proxy->setMode(ProxyMode::DropAnswers);
+        break;
+    case FaultType::ResetEndpoint:
+        endpoint.m_proxy->resetAll();
+        break;
+    case FaultType::ReplaceEndpoint:
+        endpoint.m_standIn->replaceBy("other");
+        break;
+    default:
+        registerEndpoint(endpoint, "draining");
+        break;
+    }
+}
+
+void SoakWorld::begin(const Fault &fault)
+{
+    m_lastFaultAt = Clock::now();
+    if (fault.m_type <= FaultType::ReloadGateway) {
+        beginAtGateway(fault, m_gateways[fault.m_which % m_gateways.size()]);
+    } else if (fault.m_type <= FaultType::CutStore) {
+        beginAtStore(fault);
+    } else if (fault.m_type <= FaultType::LeaveEndpoint) {
+        beginAtEndpoint(fault, m_endpoints[fault.m_which % m_endpoints.size()]);
+    } else if (fault.m_type == FaultType::TakeOut) {
+        m_store.put("evacuations", "a", "{}");
+    } else {
+        m_version += 2;
+        if (fault.m_type == FaultType::RevokeCredential) {
+            m_oldCredential = m_credential;
+            m_credential = "key-" + std::to_string(m_version);
+        }
+        putConfiguration();
+    }
+}
+
+void SoakWorld::end(const Fault &fault)
+{
+    m_lastFaultAt = Clock::now();
+    Gateway &gateway = m_gateways[fault.m_which % m_gateways.size()];
+    Endpoint &endpoint = m_endpoints[fault.m_which % m_endpoints.size()];
+    switch (fault.m_type) {
+    case FaultType::KillGateway:
+        gateway.m_isDown = false;
+        break;
+    case FaultType::PauseGateway:
+        gateway.m_process->signal(SIGCONT);
+        gateway.m_isPaused = false;
+        break;
+    case FaultType::SilenceStore:
+        m_store.setSilent(false);
+        break;
+    case FaultType::RefuseStore:
+        m_store.setRefusal(0);
+        break;
+    case FaultType::ForgetStore:
+        m_store.setDeaf(false);
+        m_store.forgetHistory();
+        break;
+    case FaultType::CutStore:
+        m_storeProxy.setMode(ProxyMode::Pass);
+        m_storeProxy.resetAll();
+        break;
+    case FaultType::EndpointMisbehaves:
+        endpoint.m_standIn->misbehave(Misbehaviour::None);
+        break;
+    case FaultType::SilenceEndpoint:
+    case FaultType::DropAnswers:
+        endpoint.m_proxy->setMode(ProxyMode::Pass);
+        endpoint.m_proxy->resetAll();
+        break;
+    case FaultType::ReplaceEndpoint:
+        endpoint.m_standIn->replaceBy(endpoint.m_id);
+        break;
+    case FaultType::LeaveEndpoint:
+        registerEndpoint(endpoint, "ready");
+        break;
+    case FaultType::TakeOut:
+        m_store.remove("evacuations", "a");
+        break;
+    default:
+        break;
+    }
+}
+
+void SoakWorld::call()
+{
+    if (!m_isCalling)
+        return;
+    const Gateway &gateway = m_gateways[m_random() % m_gateways.size()];
+    ClientOutcome outcome;
+    outcome.m_id = "r" + std::to_string(++m_lastRequest);
+    outcome.m_path = paths[m_random() % paths.size()];
+    outcome.m_credential = m_random() % 10 == 0 ? m_oldCredential : m_credential;
+    outcome.m_sentAt = Clock::now();
+    m_calls.push_back(std::make_unique<SoakCall>(
+        m_loop, m_pool, gateway.m_clients, std::move(outcome),
+        [this](SoakCall &ended) { m_book.note(ended.outcome()); }));
+    m_loop.callAt(Clock::now() + betweenCalls, [this] { call(); });
+}
+
+void SoakWorld::keepGatewaysRunning()
+{
+    for (Gateway &gateway : m_gateways) {
+        if (!gateway.m_isDown && !gateway.m_isPaused && !gateway.m_process->running())
+            startGateway(gateway);
+    }
+    std::erase_if(m_calls, [](const auto &item) { return item->isOver(); });
+    noteRuns();
+    m_loop.callAt(Clock::now() + housekeeping, [this] { keepGatewaysRunning(); });
+}
+
+void SoakWorld::noteRuns()
+{
+    for (Endpoint &endpoint : m_endpoints) {
+        const auto &ran = endpoint.m_standIn->ran();
+        for (; endpoint.m_runsNoted < ran.size(); ++endpoint.m_runsNoted)
+            m_book.noteRun(endpoint.m_id, ran[endpoint.m_runsNoted]);
+    }
+}
+
+void SoakWorld::run(const std::vector<Fault> &faults, Milliseconds span)
+{
+    // Faults begin when the gateways have found the store.
+    constexpr Milliseconds settling{1500};
+    m_startedAt = Clock::now() + settling;
+    for (const Fault &fault : faults) {
+        m_loop.callAt(m_startedAt + fault.m_at, [this, fault] { begin(fault); });
+        m_loop.callAt(m_startedAt + fault.m_at + fault.m_for, [this, fault] { end(fault); });
+    }
+    m_loop.callAt(m_startedAt, [this] { call(); });
+    keepGatewaysRunning();
+    m_loop.callAt(m_startedAt + span, [this] { m_isCalling = false; });
+    m_loop.callAt(m_startedAt + span + patience + housekeeping * 2, [this] { m_loop.stop(); });
+    m_loop.run();
+    noteRuns();
+    // What the last revocation took away has to be out of force after two seconds of calm.
+    constexpr Milliseconds inForce{5000};
+    if (m_oldCredential != m_credential)
+        m_book.noteRevoked(m_oldCredential, m_lastFaultAt + inForce, TimePoint::max());
+}
+
+} // namespace burdockhead::test
--- /dev/null
+++ b/tests/soak/soakworld.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "childprocess.h"
+#include "faultyproxy.h"
+#include "requestbook.h"
+#include "soakplan.h"
+#include "storestandin.h"
+#include <burdockhead/net/httpclientpool.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockhead::test {
+
+class SoakCall;
+
+// Gateways as processes between clients, a store and endpoints of the soak's own; endpoints
+// and store stand behind proxies that harm connections.
+class SoakWorld
+{
+public:
+    SoakWorld(std::uint64_t seed, std::size_t gateways, const std::filesystem::path &folder);
+    ~SoakWorld();
+    SoakWorld(const SoakWorld &) = delete;
+    SoakWorld &operator=(const SoakWorld &) = delete;
+
+    // Runs the faults while clients call; returns when the span is over and all calls ended.
+    void run(const std::vector<Fault> &faults, Milliseconds span);
+
+    const RequestBook &book() const { return m_book; }
+    TimePoint startedAt() const { return m_startedAt; }
+
+    // The credential that is valid at the end.
+    const std::string &credential() const { return m_credential; }
+
+private:
+    struct Gateway
+    {
+        std::string m_settings;
+        std::string m_log;
+        SocketAddress m_clients;
+        SocketAddress m_peers;
+        std::unique_ptr<ChildProcess> m_process;
+        bool m_isDown = false; // Killed, and not to be started again yet.
+        bool m_isPaused = false;
+    };
+
+    struct Endpoint
+    {
+        std::unique_ptr<EndpointStandIn> m_standIn;
+        std::unique_ptr<FaultyProxy> m_proxy;
+        std::size_t m_runsNoted = 0;
+        std::string m_id; // Under which it is registered.
+    };
+
+    void writeSettings(Gateway &gateway, std::size_t number);
+    void startGateway(Gateway &gateway);
+    void registerEndpoint(const Endpoint &endpoint, const std::string &state);
+    void putConfiguration();
+    void begin(const Fault &fault);
+    void end(const Fault &fault);
+    void beginAtGateway(const Fault &fault, Gateway &gateway);
+    void beginAtStore(const Fault &fault);
+    void beginAtEndpoint(const Fault &fault, Endpoint &endpoint);
+    void call();
+    void keepGatewaysRunning();
+    void noteRuns();
+    void noteEnded(SoakCall &call);
+
+    EventLoop m_loop;
+    Random m_random;
+    std::filesystem::path m_folder;
+    StoreStandIn m_store{m_loop};
+    FaultyProxy m_storeProxy;
+    std::vector<Gateway> m_gateways;
+    std::vector<Endpoint> m_endpoints;
+    HttpClientPool m_pool{m_loop};
+    std::vector<std::unique_ptr<SoakCall>> m_calls;
+    RequestBook m_book;
+    int m_version = 3;
+    std::string m_credential = "key-3";
+    std::string m_oldCredential = "key-3";
+    TimePoint m_startedAt;
+    TimePoint m_lastFaultAt;
+    std::size_t m_lastRequest = 0;
+    bool m_isCalling = true;
+};
+
+} // namespace burdockhead::test
--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -43,6 +43,8 @@
 
 void StoreStandIn::remove(const std::string &kind, const std::string &name)
 {
+    if (!m_objects[kind].contains(name))
+        return;
     ++m_revision;
     const std::string json = objectJson(kind, name);
     m_objects[kind].erase(name);
@@ -62,6 +64,12 @@
     std::erase_if(m_watches, [this](const Watch &watch) { return tell(watch); });
 }
 
+void StoreStandIn::setSilent(bool isSilent)
+{
+    m_isSilent = isSilent;
+    wakeWatches();
+}
+
 void StoreStandIn::forgetHistory()
 {
     m_forgottenUpTo = ++m_revision;
@@ -118,9 +126,10 @@
     if (tell(watch))
         return;
     m_watches.push_back(watch);
-    m_loop.callAt(Clock::now() + wait, [this, weak = std::weak_ptr(exchange), after] {
+    m_loop.callAt(Clock::now() + wait, [this, kind, weak = std::weak_ptr(exchange), after] {
         const auto waiting = weak.lock();
-        if (!waiting || m_isSilent)
+        const Watch watch = {waiting, kind, after};
+        if (!waiting || m_isSilent || tell(watch))
             return;
         std::erase_if(m_watches, [&](const Watch &other) { return other.m_exchange == waiting; });
         if (after < m_forgottenUpTo)
--- a/tests/standins/fleet/storestandin.h
+++ b/tests/standins/fleet/storestandin.h
@@ -23,7 +23,7 @@
     void remove(const std::string &kind, const std::string &name);
 
     // Answers nothing from now on, or answers again; what waits stays unanswered.
-    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    void setSilent(bool isSilent);
 
     // Answers every call with this status; 0 answers as usual.
     void setRefusal(int status) { m_refusal = status; }
