--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -88,8 +88,9 @@
 {
     const auto &configuration = m_router.configuration();
     const HttpHead &request = m_exchange->head();
+    // Another gateway serves at once; a store that gives no configuration is away for seconds.
     if (!configuration || m_router.refusesNew()) {
-        refuse(ErrorKind::NotReady, usualComeBack);
+        refuse(ErrorKind::NotReady, configuration ? shortestComeBack : longestComeBack);
         return false;
     }
     m_configurationVersion = configuration->version();
