--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -8,7 +8,7 @@
 
 // How many steps ahead the group is held: orders reach all ranks in less than a step, so the
 // group seldom waits.
-constexpr std::uint64_t holdLead = 3;
+constexpr std::uint64_t holdLead = 2;
 
 // True when all ranks are known, in one open group and one epoch, with one map.
 bool isWhole(const std::vector<RankView> &views)
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -15,8 +15,8 @@
 // and while the group is held and waits for every message. A shift of the demand shows within
 // one or two rounds.
 constexpr Milliseconds idlePause{400};
-constexpr Milliseconds busyPause{100};
-constexpr Milliseconds changePause{40};
+constexpr Milliseconds busyPause{70};
+constexpr Milliseconds changePause{25};
 constexpr Milliseconds holdPause{5};
 // Added to each pause for a rank that is asked, so that large groups don't fill the link of the
 // coordinator's VM.
