--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -11,10 +11,10 @@
 // Requests at a plain service for each of its slots, over the whole fleet. Above 1, since no
 // gateway knows exactly what the others have sent; endpoints queue the few beyond.
 constexpr double requestsForSlot = 1.25;
-// The same for engines, whose steps grow longer with each request: nearly the throughput of
-// full batches, at two thirds of their time for a step.
-constexpr double requestsForEngineSlot = 0.75;
-// The same while steps are slow, so that they become shorter again.
+// The same for engines, which run no more than their slots and take longer steps for each.
+constexpr double requestsForEngineSlot = 1.0;
+// The same while steps are slow, so that they become shorter again: at about this many requests
+// a step with badly spread experts still ends within the longest pause.
 constexpr double requestsForSlowSlot = 0.4;
 // A gateway's smallest window, so that a few endpoints shared by many gateways are reached.
 constexpr std::size_t smallestWindow = 3;
--- a/src/burdockhead/gateway/route.h
+++ b/src/burdockhead/gateway/route.h
@@ -37,7 +37,7 @@
     Milliseconds m_timeout{30000};
     Milliseconds m_objective{1000};  // Until the first byte.
     Milliseconds m_longestPause{0};  // Between a stream's events; 0: not declared.
-    Milliseconds m_patience{0}; // A stream without an event for as long is left; 0: none is.
+    Milliseconds m_patience{0};      // A stream without an event for as long is left; 0: none is.
     std::uint32_t m_priority = 0;    // 0 is the most urgent.
     std::uint32_t m_maxAttempts = 1; // Endpoints that one request may be sent to.
     std::vector<WeightedService> m_services;
--- a/src/burdockhead/net/httpclientpool.cpp
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -281,7 +281,8 @@
 
 HttpClientPool::~HttpClientPool() = default;
 
-std::unique_ptr<HttpCall> HttpClientPool::call(const SocketAddress &address, const std::string &request,
+std::unique_ptr<HttpCall> HttpClientPool::call(const SocketAddress &address,
+                                               const std::string &request,
                                                const HttpCallOptions &options,
                                                HttpCallObserver &observer)
 {
--- a/src/burdockhead/observe/linesink.h
+++ b/src/burdockhead/observe/linesink.h
@@ -24,7 +24,7 @@
     struct Options
     {
         std::size_t m_maxBufferedBytes = 262144; // What a reader that stands still may cost.
-        std::size_t m_linesPerSecond = 200;          // For each event.
+        std::size_t m_linesPerSecond = 200;      // For each event.
     };
 
     // Makes the descriptor non-blocking. The process's name stands on each line.
--- a/src/burdockhead/operators/requestexplanation.cpp
+++ b/src/burdockhead/operators/requestexplanation.cpp
@@ -19,7 +19,8 @@
 // What each outcome of a request means for its client.
 constexpr OutcomeText outcomeTexts[] = {
     {"served", "the endpoint's answer was passed on"},
-    {"endpoint_failed", "the endpoint answered with a failure, or no endpoint gave a usable answer"},
+    {"endpoint_failed",
+     "the endpoint answered with a failure, or no endpoint gave a usable answer"},
     {"refused", "it was refused without having run, with a time to come back"},
     {"cancelled", "the client left before the answer was whole"},
     {"outcome_unknown", "it may have run once and is not repeated"},
--- a/src/burdockhead/rankagent/expertdemand.h
+++ b/src/burdockhead/rankagent/expertdemand.h
@@ -8,8 +8,9 @@
 
 namespace burdockhead {
 
-// How much the experts of a group are in demand, from what its ranks have counted. Answers the load pattern of a demand that is steady for some seconds and then
-// shifts at once: what was counted before a shift is forgotten when the shift shows.
+// How much the experts of a group are in demand, from what its ranks have counted. Answers the load
+// pattern of a demand that is steady for some seconds and then shifts at once: what was counted
+// before a shift is forgotten when the shift shows.
 class ExpertDemand
 {
 public:
@@ -35,8 +36,8 @@
 
     std::size_t m_layers;
     std::size_t m_experts;
-    GroupLoads m_loads;  // Since the last shift, earlier rounds for less.
-    GroupLoads m_recent; // Not yet taken into the others.
+    GroupLoads m_loads;     // Since the last shift, earlier rounds for less.
+    GroupLoads m_recent;    // Not yet taken into the others.
     double m_movedPart = 0; // Of the choices, in the last round.
     double m_usualPart = 0; // The same in rounds without a shift.
     bool m_isSettled = true;
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -256,8 +256,8 @@
         forwarded.m_order.m_rank = rank.m_rank;
         forwarded.m_forwardTo.clear();
         m_calls.push_back(std::make_unique<AgentCall>(
-            m_loop, m_agentClient, rank.m_agent, "POST", rankOrderTarget,
-            writeRankOrder(forwarded), Clock::now() + forwardTimeout, [](AgentCall &) {}));
+            m_loop, m_agentClient, rank.m_agent, "POST", rankOrderTarget, writeRankOrder(forwarded),
+            Clock::now() + forwardTimeout, [](AgentCall &) {}));
     }
 }
 
@@ -311,8 +311,7 @@
     // Agents listen on the same port of every machine.
     std::vector<RankAccess> access;
     for (const auto &[name, entry] : m_endpoints)
-        access.push_back(
-            {{entry.m_address.m_host, m_settings.m_agents.m_port}, entry.m_address});
+        access.push_back({{entry.m_address.m_host, m_settings.m_agents.m_port}, entry.m_address});
     std::sort(access.begin(), access.end());
     access.erase(std::unique(access.begin(), access.end()), access.end());
     m_coordinator.setAccess(std::move(access));
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -138,8 +138,7 @@
                                + askedByQuery + std::to_string(m_ownRank);
     m_asking.push_back(std::make_unique<AgentCall>(
         m_parts.m_loop, m_parts.m_client, access.m_agent, "GET", target, "",
-        Clock::now() + statusTimeout,
-        [this, access](AgentCall &call) { answered(access, call); }));
+        Clock::now() + statusTimeout, [this, access](AgentCall &call) { answered(access, call); }));
 }
 
 void RankCoordinator::askEngine(const RankAccess &access)
--- a/src/burdockhead/rankagent/rankmessages.h
+++ b/src/burdockhead/rankagent/rankmessages.h
@@ -35,7 +35,7 @@
 struct RankOrderMessage
 {
     RankOrder m_order;
-    std::uint32_t m_ranks = 0;     // Of the group.
+    std::uint32_t m_ranks = 0;      // Of the group.
     std::optional<ExpertMap> m_map; // For Prepare.
     std::vector<ForwardedRank> m_forwardTo;
 
--- a/tests/internal/gateway/test_arrivalwindow.cpp
+++ b/tests/internal/gateway/test_arrivalwindow.cpp
@@ -9,21 +9,22 @@
 
 BOOST_AUTO_TEST_CASE(no_span_of_a_second_holds_more_than_the_limit)
 {
-    checkProperty("arrivals stay within the limit in any span", [](const std::vector<unsigned> &gaps) {
-        constexpr std::size_t limit = 6;
-        ArrivalWindow window{Milliseconds(1000)};
-        TimePoint now{};
-        std::deque<TimePoint> sent;
-        for (const unsigned gap : gaps) {
-            now += Milliseconds(gap % 400);
-            if (!window.allows(limit, now))
-                continue;
-            window.note(now);
-            sent.push_back(now);
-        }
-        for (std::size_t first = 0; first + limit < sent.size(); ++first)
-            RC_ASSERT(sent[first + limit] - sent[first] >= Milliseconds(1000));
-    });
+    checkProperty("arrivals stay within the limit in any span",
+                  [](const std::vector<unsigned> &gaps) {
+                      constexpr std::size_t limit = 6;
+                      ArrivalWindow window{Milliseconds(1000)};
+                      TimePoint now{};
+                      std::deque<TimePoint> sent;
+                      for (const unsigned gap : gaps) {
+                          now += Milliseconds(gap % 400);
+                          if (!window.allows(limit, now))
+                              continue;
+                          window.note(now);
+                          sent.push_back(now);
+                      }
+                      for (std::size_t first = 0; first + limit < sent.size(); ++first)
+                          RC_ASSERT(sent[first + limit] - sent[first] >= Milliseconds(1000));
+                  });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/internal/gateway/test_eventsplitter.cpp
+++ b/tests/internal/gateway/test_eventsplitter.cpp
@@ -24,22 +24,23 @@
 
 BOOST_AUTO_TEST_CASE(events_come_out_whole_wherever_the_bytes_are_cut)
 {
-    checkProperty("a stream in any pieces gives the same bytes", [](const std::vector<unsigned> &cuts) {
-        const std::string stream = events(1, 12);
-        EventSplitter splitter{std::nullopt};
-        std::string out;
-        std::size_t at = 0;
-        for (const unsigned cut : cuts) {
-            const std::size_t length = cut % 40;
-            out += splitter.take(std::string_view(stream).substr(at, length));
-            at = std::min(at + length, stream.size());
-            RC_ASSERT(out.empty() || out.ends_with("\n\n"));
-        }
-        out += splitter.take(std::string_view(stream).substr(at));
-        RC_ASSERT(out == stream);
-        RC_ASSERT(!splitter.hasPartial());
-        RC_ASSERT(!splitter.hasGap());
-    });
+    checkProperty("a stream in any pieces gives the same bytes",
+                  [](const std::vector<unsigned> &cuts) {
+                      const std::string stream = events(1, 12);
+                      EventSplitter splitter{std::nullopt};
+                      std::string out;
+                      std::size_t at = 0;
+                      for (const unsigned cut : cuts) {
+                          const std::size_t length = cut % 40;
+                          out += splitter.take(std::string_view(stream).substr(at, length));
+                          at = std::min(at + length, stream.size());
+                          RC_ASSERT(out.empty() || out.ends_with("\n\n"));
+                      }
+                      out += splitter.take(std::string_view(stream).substr(at));
+                      RC_ASSERT(out == stream);
+                      RC_ASSERT(!splitter.hasPartial());
+                      RC_ASSERT(!splitter.hasGap());
+                  });
 }
 
 BOOST_AUTO_TEST_CASE(a_stream_that_goes_on_elsewhere_lacks_and_repeats_nothing)
--- a/tests/soak/faultyproxy.cpp
+++ b/tests/soak/faultyproxy.cpp
@@ -75,8 +75,7 @@
             if (m_mode != ProxyMode::Refuse) {
                 socket.non_blocking(true);
                 Passage &passage = m_passages.emplace_back(m_mode);
-                passage.m_server.m_stream =
-                    TcpStream::connect(m_loop, m_target, passage.m_server);
+                passage.m_server.m_stream = TcpStream::connect(m_loop, m_target, passage.m_server);
                 passage.m_client.m_stream =
                     TcpStream::adopt(m_loop, socket.release(), passage.m_client);
             }
--- a/tests/soak/faultyproxy.h
+++ b/tests/soak/faultyproxy.h
@@ -10,9 +10,9 @@
 // What a proxy does with the bytes that come through.
 enum class ProxyMode {
     Pass,
-    Silent,       // Keeps connections open and drops everything.
-    DropAnswers,  // Lets requests through and drops what comes back.
-    Refuse,       // Closes each new connection at once.
+    Silent,      // Keeps connections open and drops everything.
+    DropAnswers, // Lets requests through and drops what comes back.
+    Refuse,      // Closes each new connection at once.
 };
 
 // A loopback proxy before a server, which harms the connections through it on order.
--- a/tests/soak/requestbook.cpp
+++ b/tests/soak/requestbook.cpp
@@ -55,8 +55,7 @@
     if (!outcome.m_signature.ends_with("." + outcome.m_id))
         found.push_back("answer of another request: " + name);
     const bool isStream = outcome.m_path.starts_with("/stream/");
-    if (isStream
-        && outcome.m_body != EndpointStandIn::events(1, EndpointStandIn::lastEvent))
+    if (isStream && outcome.m_body != EndpointStandIn::events(1, EndpointStandIn::lastEvent))
         found.push_back("stream that lacks or repeats events: " + name);
     for (const Revocation &revocation : m_revocations) {
         if (outcome.m_credential == revocation.m_credential
@@ -91,9 +90,10 @@
 
 std::size_t RequestBook::served() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_outcomes.begin(), m_outcomes.end(),
-        [](const ClientOutcome &outcome) { return outcome.m_status == 200 && outcome.m_isWhole; }));
+    return static_cast<std::size_t>(
+        std::count_if(m_outcomes.begin(), m_outcomes.end(), [](const ClientOutcome &outcome) {
+            return outcome.m_status == 200 && outcome.m_isWhole;
+        }));
 }
 
 } // namespace burdockhead::test
--- a/tests/soak/requestbook.h
+++ b/tests/soak/requestbook.h
@@ -15,7 +15,7 @@
     std::string m_path;
     std::string m_credential;
     TimePoint m_sentAt;
-    int m_status = 0;     // 0: no answer.
+    int m_status = 0; // 0: no answer.
     bool m_isWhole = false;
     std::string m_signature;
     std::string m_body;
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr std::array<const char *, faultTypes> names = {
-    "kill_gateway",     "stop_gateway",        "pause_gateway",   "reload_gateway",
-    "silence_store",    "refuse_store",        "forget_store",    "cut_store",
-    "endpoint_misbehaves", "silence_endpoint", "drop_answers",    "reset_endpoint",
-    "replace_endpoint", "leave_endpoint",      "take_out",        "change_configuration",
+    "kill_gateway",        "stop_gateway",     "pause_gateway", "reload_gateway",
+    "silence_store",       "refuse_store",     "forget_store",  "cut_store",
+    "endpoint_misbehaves", "silence_endpoint", "drop_answers",  "reset_endpoint",
+    "replace_endpoint",    "leave_endpoint",   "take_out",      "change_configuration",
     "revoke_credential"};
 
 // Gaps between faults, and how long each lasts, in milliseconds.
@@ -27,8 +27,8 @@
 
 std::string Fault::toString() const
 {
-    return std::to_string(m_at.count()) + " ms for " + std::to_string(m_for.count()) + " ms: "
-           + test::toString(m_type) + " " + std::to_string(m_which);
+    return std::to_string(m_at.count()) + " ms for " + std::to_string(m_for.count())
+           + " ms: " + test::toString(m_type) + " " + std::to_string(m_which);
 }
 
 std::vector<Fault> planSoak(std::uint64_t seed, Milliseconds span, Milliseconds calm)
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -17,14 +17,14 @@
     SilenceStore,
     RefuseStore,
     ForgetStore,
-    CutStore,     // The proxies before the store drop everything, or answers only.
+    CutStore, // The proxies before the store drop everything, or answers only.
     EndpointMisbehaves,
     SilenceEndpoint,
     DropAnswers,
     ResetEndpoint,
     ReplaceEndpoint, // Another endpoint has its address.
     LeaveEndpoint,
-    TakeOut,         // Its data centre.
+    TakeOut, // Its data centre.
     ChangeConfiguration,
     RevokeCredential,
 };
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -19,8 +19,9 @@
 constexpr std::array<const char *, 4> paths = {"/stream/x", "/stream/once/x", "/safe/x",
                                                "/unsafe/x"};
 constexpr std::array<Misbehaviour, 7> misbehaviours = {
-    Misbehaviour::Refuse, Misbehaviour::LoseAnswer, Misbehaviour::BreakStream,
-    Misbehaviour::Foreign, Misbehaviour::Fail, Misbehaviour::Hang, Misbehaviour::SkipEvent};
+    Misbehaviour::Refuse,   Misbehaviour::LoseAnswer, Misbehaviour::BreakStream,
+    Misbehaviour::Foreign,  Misbehaviour::Fail,       Misbehaviour::Hang,
+    Misbehaviour::SkipEvent};
 
 std::string configuration(int version, const std::string &credential)
 {
@@ -34,9 +35,8 @@
            + ","
            + route("o", "/stream/once/",
                    R"("routeType":"streaming","service":"llm","maxAttempts":1)")
-           + ","
-           + route("g", "/safe/", R"("routeType":"safe","service":"app","maxAttempts":2)") + ","
-           + route("u", "/unsafe/", R"("routeType":"unsafe","service":"app","maxAttempts":1)")
+           + "," + route("g", "/safe/", R"("routeType":"safe","service":"app","maxAttempts":2)")
+           + "," + route("u", "/unsafe/", R"("routeType":"unsafe","service":"app","maxAttempts":1)")
            + R"(],"services":[{"name":"llm","coldPerS":1000.0,"engine":{"slots":4}},)"
              R"({"name":"app","coldPerS":0.0}],"limits":{},"tenants":[{"name":"w","apiKeys":[")"
            + credential + R"("]}]})";
@@ -111,11 +111,9 @@
         for (std::size_t number = 0; number < endpointsOfService; ++number) {
             Endpoint endpoint;
             endpoint.m_id = service + "-" + std::to_string(number);
-            endpoint.m_standIn =
-                std::make_unique<EndpointStandIn>(m_loop, endpoint.m_id, service);
+            endpoint.m_standIn = std::make_unique<EndpointStandIn>(m_loop, endpoint.m_id, service);
             endpoint.m_standIn->setDelay(Milliseconds(10));
-            endpoint.m_proxy =
-                std::make_unique<FaultyProxy>(m_loop, endpoint.m_standIn->address());
+            endpoint.m_proxy = std::make_unique<FaultyProxy>(m_loop, endpoint.m_standIn->address());
             registerEndpoint(endpoint, "ready");
             m_endpoints.push_back(std::move(endpoint));
         }
@@ -139,8 +137,9 @@
     gateway.m_settings = m_folder / (name + ".ini");
     gateway.m_log = m_folder / (name + ".log");
     std::ofstream(gateway.m_settings)
-        << "[process]\nname = " << name << "\ndata_centre = a\n[listen]\nclients = "
-        << gateway.m_clients.toString() << "\nreadiness = " << freeLoopbackAddress().toString()
+        << "[process]\nname = " << name
+        << "\ndata_centre = a\n[listen]\nclients = " << gateway.m_clients.toString()
+        << "\nreadiness = " << freeLoopbackAddress().toString()
         << "\ndirectory = " << freeLoopbackAddress().toString()
         << "\npeers = " << gateway.m_peers.toString()
         << "\nmetrics = " << freeLoopbackAddress().toString()
@@ -317,9 +316,9 @@
     outcome.m_path = paths[m_random() % paths.size()];
     outcome.m_credential = m_random() % 10 == 0 ? m_oldCredential : m_credential;
     outcome.m_sentAt = Clock::now();
-    m_calls.push_back(std::make_unique<SoakCall>(
-        m_loop, m_pool, gateway.m_clients, std::move(outcome),
-        [this](SoakCall &ended) { m_book.note(ended.outcome()); }));
+    m_calls.push_back(
+        std::make_unique<SoakCall>(m_loop, m_pool, gateway.m_clients, std::move(outcome),
+                                   [this](SoakCall &ended) { m_book.note(ended.outcome()); }));
     m_loop.callAt(Clock::now() + betweenCalls, [this] { call(); });
 }
 
