--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -22,10 +22,14 @@
 // entries lapse while the store is away and come back.
 constexpr int leavePartNumerator = 3;
 constexpr int leavePartDenominator = 4;
-// Parts of a stop's grace, counted from its end: when connections without a request are
-// closed, when what comes is refused, and when the process ends whatever is open.
+// The part of a stop's grace in which requests are still taken: what comes later might not end
+// in time, as the longest streams take about five eighths of the grace.
+constexpr int takePartNumerator = 3;
+constexpr int takePartDenominator = 8;
+// Counted from the end of the grace: when connections without a request are closed, when the
+// process may end if no request is open, and when it ends whatever is open.
 constexpr Milliseconds closeIdleBefore{4000};
-constexpr Milliseconds refuseBefore{2500};
+constexpr Milliseconds mayEndBefore{2500};
 constexpr Milliseconds endBefore{600};
 constexpr Milliseconds stopPoll{50};
 
@@ -315,9 +319,10 @@
     const TimePoint now = Clock::now();
     if (now >= m_stopBy - closeIdleBefore)
         m_clients.closeIdle();
-    if (now >= m_stopBy - refuseBefore)
+    const Milliseconds grace = m_settings.m_bounds.m_stopGrace;
+    if (now >= m_stopBy - grace + grace * takePartNumerator / takePartDenominator)
         m_router.refuseNew();
-    const bool isDone = m_router.refusesNew() && m_router.openRequests() == 0;
+    const bool isDone = now >= m_stopBy - mayEndBefore && m_router.openRequests() == 0;
     if (isDone || now >= m_stopBy - endBefore) {
         m_lines.add("stopped", {{"open_requests", std::to_string(m_router.openRequests())}});
         m_lines.flush();
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -292,6 +292,18 @@
     BOOST_TEST((Clock::now() - asked < Seconds(6)));
 }
 
+// A stream that comes late in a stop might be cut off by its end.
+BOOST_AUTO_TEST_CASE(a_request_that_comes_late_in_a_stop_is_refused_without_having_run)
+{
+    start();
+    m_gateway->signal(SIGTERM);
+    pass(Milliseconds(2100));
+    const auto late = ask("POST", "/stream/x");
+    BOOST_TEST(late->status() == 503);
+    BOOST_TEST(std::stod(late->header("Retry-After")) > 0);
+    BOOST_TEST(ranOf("llm") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_reload_of_settings_that_cannot_be_read_changes_nothing)
 {
     start();
