--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -487,8 +487,10 @@
 
 void CallFlow::refuse(ErrorKind kind, Milliseconds comeBackAfter)
 {
-    if (m_exchange->hasStarted()) {
-        fail(ErrorKind::StreamBroken, toString(kind));
+    // A refusal says that the request has not run.
+    if (m_exchange->hasStarted() || m_mayHaveRun) {
+        fail(m_exchange->hasStarted() ? ErrorKind::StreamBroken : ErrorKind::EndpointFailed,
+             toString(kind));
         return;
     }
     answerError(kind, m_router.parts().m_dialect.comeBackHeaders(comeBackAfter));
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -1,3 +1,4 @@
+#include "freeport.h"
 #include "gatewayworld.h"
 #include <burdockhead/http/httprequest.h>
 
@@ -112,6 +113,26 @@
     }
 }
 
+// After a lost answer, the endpoints that are left can't be reached.
+BOOST_AUTO_TEST_CASE(a_request_that_has_run_is_never_refused_as_not_run)
+{
+    start();
+    m_store.remove("servers", m_app[1]->id());
+    m_app[0]->misbehave(Misbehaviour::LoseAnswer);
+    for (int number = 0; number < 6; ++number) {
+        std::string entry = m_app[1]->entry();
+        const std::string reachable = m_app[1]->address().toString();
+        entry.replace(entry.find(reachable), reachable.size(), freeLoopbackAddress().toString());
+        m_store.put("servers", "dead-" + std::to_string(number), entry);
+    }
+    pass(Milliseconds(2000));
+    for (int count = 0; count < 20; ++count) {
+        const std::size_t before = m_app[0]->ran().size();
+        const auto call = ask("GET", "/safe/x");
+        BOOST_TEST((call->status() != 503 || m_app[0]->ran().size() == before));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_answer_to_another_request_is_passed_to_nobody)
 {
     start();
