Open a paused gate at the first byte of an answer

Cause: after a loss of power a group of ranks refuses everything until it has formed. A gateway then lets one request at a time try it, and took the pause back only when that request had been served whole.

Change: what the service answers, it has taken; the first byte ends the pause. The new case of the Gate suite failed before.

--- a/src/burdockhead/gateway/servicegate.cpp
+++ b/src/burdockhead/gateway/servicegate.cpp
@@ -50,6 +50,7 @@
 
 void ServiceGate::noteFirstByte(Duration took)
 {
+    m_refusedInRow = 0;
     follow(m_usualFirstByte, took);
 }
 
--- a/src/burdockhead/gateway/servicegate.h
+++ b/src/burdockhead/gateway/servicegate.h
@@ -46,7 +46,8 @@
     // How long a request that came now would wait for its turn, from the last requests' times.
     Duration expectedWait(std::size_t ahead) const;
 
-    // The time from sending a request until the first byte of its answer came.
+    // The time from sending a request until the first byte of its answer came. Ends a pause:
+    // what the service answers, it has taken.
     void noteFirstByte(Duration took);
     Duration usualFirstByte() const { return m_usualFirstByte; }
 
--- a/tests/internal/gateway/test_servicegate.cpp
+++ b/tests/internal/gateway/test_servicegate.cpp
@@ -138,6 +138,22 @@
     BOOST_TEST(gate.mayStart(now));
 }
 
+// The load pattern of a group that opens again: its first stream runs for a second or two, and
+// what waits leaves after two.
+BOOST_AUTO_TEST_CASE(the_first_byte_of_an_answer_ends_the_pause)
+{
+    ServiceGate gate(retries);
+    gate.setWindow(50, 50);
+    for (int refusal = 0; refusal < 4; ++refusal)
+        gate.noteRefused(start);
+    const TimePoint later = start + Seconds(1);
+    BOOST_REQUIRE(gate.mayStart(later));
+    gate.noteStarted();
+    BOOST_TEST(!gate.mayStart(later));
+    gate.noteFirstByte(Milliseconds(300));
+    BOOST_TEST(gate.mayStart(later));
+}
+
 // The load pattern of a demand for experts that shifts every few seconds, under a burst.
 BOOST_AUTO_TEST_CASE(a_smaller_window_while_steps_are_slow_keeps_more_streams_in_time)
 {
