Use only the endpoint that started last at an address

Cause: after a loss of power the replicas are back under new names within a second, while discovery lists those from before for some three heartbeats more.

Change: of the endpoints with one address only that which started last is used.

--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -46,9 +46,29 @@
     }
     known->m_entry = entry;
     known->m_usableUntil = TimePoint::max();
+    if (isNew)
+        noteReplaced(known);
     return isNew;
 }
 
+// Of the endpoints with one address only that which started last can be there. The entries of
+// the others stay in service discovery for seconds after a crash or a loss of power.
+void EndpointTable::noteReplaced(const KnownEndpointPointer &endpoint)
+{
+    const EndpointEntry &entry = endpoint->m_entry;
+    if (entry.m_startedAt == 0)
+        return;
+    for (const auto &[name, other] : m_endpoints) {
+        if (other == endpoint || other->m_entry.m_address != entry.m_address
+            || other->m_entry.m_startedAt == 0)
+            continue;
+        if (other->m_entry.m_startedAt < entry.m_startedAt)
+            other->m_isReplaced = true;
+        else if (other->m_entry.m_startedAt > entry.m_startedAt)
+            endpoint->m_isReplaced = true;
+    }
+}
+
 void EndpointTable::remove(const EndpointName &name, TimePoint usableUntil)
 {
     const auto found = m_endpoints.find(name);
@@ -78,7 +98,7 @@
 
 bool EndpointTable::isUsable(const KnownEndpoint &endpoint, TimePoint now) const
 {
-    return !endpoint.m_entry.m_isLeaving && now < endpoint.m_usableUntil
+    return !endpoint.m_entry.m_isLeaving && !endpoint.m_isReplaced && now < endpoint.m_usableUntil
            && !m_out.contains(endpoint.m_entry.m_dataCentre);
 }
 
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -23,6 +23,7 @@
     unsigned m_inFlightElsewhere = 0;           // As other gateways last told.
     TimePoint m_lastAnswerAt;                   // When bytes of an answer last came from it.
     TimePoint m_usableUntil = TimePoint::max(); // An entry that is gone may be on its way back.
+    bool m_isReplaced = false;                  // A later one has started at its address.
 };
 
 using KnownEndpointPointer = std::shared_ptr<KnownEndpoint>;
@@ -75,6 +76,7 @@
 
 private:
     bool isUsable(const KnownEndpoint &endpoint, TimePoint now) const;
+    void noteReplaced(const KnownEndpointPointer &endpoint);
 
     std::map<EndpointName, KnownEndpointPointer> m_endpoints;
     std::map<GroupName, std::vector<KnownEndpointPointer>> m_byService;
--- a/tests/internal/gateway/test_endpointtable.cpp
+++ b/tests/internal/gateway/test_endpointtable.cpp
@@ -57,6 +57,26 @@
         BOOST_TEST(count < 20U);
 }
 
+// The load pattern after a loss of power: discovery still lists the endpoints from before it.
+BOOST_AUTO_TEST_CASE(an_endpoint_at_whose_address_a_later_one_started_is_not_chosen)
+{
+    EndpointTable table = tableOf(1);
+    EndpointEntry later = entry(2);
+    later.m_address = entry(1).m_address;
+    later.m_startedAt = 2;
+    table.update(later);
+    table.update(entry(1));
+    for (int request = 0; request < 20; ++request)
+        BOOST_TEST(table.choose({service, 0, {}}, start)->m_entry.m_name.text() == "e2");
+    BOOST_TEST(table.usableCount(service, start) == 1U);
+    BOOST_TEST(table.slots(service, start) == slots);
+
+    EndpointTable other = tableOf(0);
+    other.update(later);
+    other.update(entry(1));
+    BOOST_TEST(other.choose({service, 0, {}}, start)->m_entry.m_name.text() == "e2");
+}
+
 BOOST_AUTO_TEST_CASE(what_leaves_is_out_of_service_or_was_tried_is_not_chosen)
 {
     EndpointTable table = tableOf(2);
