Hold a group at its last rank, and end a hold without rank 0

Cause: the agent beside rank 0 coordinates and held the group at rank 0.

Change: the hold is put on the last rank, by a direct order, and rank 0 is armed after all others. A deputy that hears nothing of rank 0, while all other agents say that the coordinator has been silent to them too, ends the hold: while another rank isn't armed, rank 0 can't be. It disarms, replaces what is prepared and lets go. Where all others are armed already it waits as before.

--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -10,20 +10,57 @@
 // group seldom waits.
 constexpr std::uint64_t holdLead = 2;
 
-// True when all ranks are known, in one open group and one epoch, with one map.
-bool isWhole(const std::vector<RankView> &views)
+// True when all ranks from that one on are known, in one open group and one epoch, with one map.
+bool isWholeFrom(std::uint32_t firstRank, const std::vector<RankView> &views)
 {
-    if (views.empty() || views.size() != views.front().m_ranks)
+    if (views.empty() || views.size() + firstRank != views.front().m_ranks)
         return false;
-    for (std::size_t rank = 0; rank < views.size(); ++rank) {
-        const RankView &view = views[rank];
-        if (!view.m_isOpen || view.m_rank != rank || view.m_epoch != views.front().m_epoch
-            || view.m_group != views.front().m_group || view.m_map != views.front().m_map)
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const RankView &view = views[index];
+        if (!view.m_isOpen || view.m_rank != firstRank + index
+            || view.m_epoch != views.front().m_epoch || view.m_group != views.front().m_group
+            || view.m_map != views.front().m_map)
             return false;
     }
     return true;
 }
 
+std::uint64_t lastStep(const std::vector<RankView> &views)
+{
+    std::uint64_t step = 0;
+    for (const RankView &view : views)
+        step = std::max(step, view.m_step);
+    return step;
+}
+
+// The first step that a rank holds and the group has not begun; none without a hold.
+std::optional<std::uint64_t> heldStep(const std::vector<RankView> &views)
+{
+    const std::uint64_t begun = lastStep(views);
+    std::optional<std::uint64_t> held;
+    for (const RankView &view : views) {
+        if (view.m_held && *view.m_held > begun)
+            held = std::min(held.value_or(*view.m_held), *view.m_held);
+    }
+    return held;
+}
+
+// Lets the group go on, at each rank that holds it.
+void letGo(const std::vector<RankView> &views, std::uint64_t step, RolloutStep &result)
+{
+    for (const RankView &view : views) {
+        if (view.m_held == step)
+            result.m_orders.push_back({view.m_rank, RankOrderType::Go, view.m_epoch, 0, step});
+    }
+}
+
+// The hold is put on the last rank: the coordinator is beside the first, and when its VM
+// freezes a deputy can still reach the rank that holds the group.
+RankOrder holdOrder(const std::vector<RankView> &views, std::uint64_t step)
+{
+    return {views.back().m_rank, RankOrderType::Hold, views.back().m_epoch, 0, step};
+}
+
 bool hasPreparedNew(const RankView &view)
 {
     return view.m_prepared && *view.m_prepared > view.m_map;
@@ -56,15 +93,18 @@
     }
 }
 
+// Arms rank 0 only when all others are armed, so that while any other rank is not, nobody has
+// to ask whether rank 0 is.
 void armAndGo(const std::vector<RankView> &views, const ArmedMap &armed, RolloutStep &result)
 {
-    for (const RankView &view : views) {
-        if (view.m_armed != armed)
+    for (auto view = views.rbegin(); view != views.rend(); ++view) {
+        const bool isLast = view->m_rank == 0 && !result.m_orders.empty();
+        if (view->m_armed != armed && !isLast)
             result.m_orders.push_back(
-                {view.m_rank, RankOrderType::Arm, view.m_epoch, armed.m_version, armed.m_step});
+                {view->m_rank, RankOrderType::Arm, view->m_epoch, armed.m_version, armed.m_step});
     }
     if (result.m_orders.empty())
-        result.m_orders.push_back({0, RankOrderType::Go, views.front().m_epoch, 0, armed.m_step});
+        letGo(views, armed.m_step, result);
 }
 
 } // namespace
@@ -122,7 +162,7 @@
         return result;
     // Without a prepared map no order to arm can succeed any more.
     if (std::none_of(views.begin(), views.end(), hasPreparedNew)) {
-        result.m_orders.push_back({0, RankOrderType::Go, views.front().m_epoch, 0, step});
+        letGo(views, step, result);
         return result;
     }
     if (planned && *planned >= nextVersion(views) - 1 && *planned > m_highestDisarmed)
@@ -132,6 +172,37 @@
     return result;
 }
 
+// Ends a hold while rank 0 is unknown. It isn't armed as long as another rank isn't, since it is
+// armed last; if all others are armed it may be, and the group has to wait for it. What the
+// others have prepared is replaced before the group goes on, so that no late order arms them.
+RolloutStep MapRollout::nextWhileHeldWithoutFirst(const std::vector<RankView> &views,
+                                                  std::uint64_t step,
+                                                  std::optional<std::uint64_t> planned)
+{
+    RolloutStep result;
+    result.m_isHolding = true;
+    if (isArmedAlike(views))
+        return result;
+    const Release release = {views.front().m_epoch, step};
+    if (m_release != release) {
+        m_release = release;
+        m_highestDisarmed = std::max(m_highestDisarmed, nextVersion(views) - 1);
+    }
+    disarm(views, result);
+    if (!result.m_orders.empty())
+        return result;
+    if (std::none_of(views.begin(), views.end(), hasPreparedNew)) {
+        letGo(views, step, result);
+    } else if (!planned || *planned <= m_highestDisarmed) {
+        result.m_needsPlan = true;
+    } else {
+        prepare(views, *planned, result);
+        if (result.m_orders.empty())
+            letGo(views, step, result);
+    }
+    return result;
+}
+
 RolloutStep MapRollout::nextWhileFree(const std::vector<RankView> &views,
                                       std::optional<std::uint64_t> planned) const
 {
@@ -140,7 +211,7 @@
     if (isArmedAlike(views))
         return result; // The step for which all are armed is still to come.
     if (const auto step = firstArmedStep(views)) {
-        result.m_orders.push_back({0, RankOrderType::Hold, first.m_epoch, 0, *step});
+        result.m_orders.push_back(holdOrder(views, *step));
         result.m_isHolding = true;
         return result;
     }
@@ -151,10 +222,7 @@
     } else if (*planned <= m_highestDisarmed) {
         result.m_needsPlan = true;
     } else if (commonPrepared(views) == planned) {
-        std::uint64_t step = 0;
-        for (const RankView &view : views)
-            step = std::max(step, view.m_step);
-        result.m_orders.push_back({0, RankOrderType::Hold, first.m_epoch, 0, step + holdLead});
+        result.m_orders.push_back(holdOrder(views, lastStep(views) + holdLead));
         result.m_isHolding = true;
     } else {
         prepare(views, *planned, result);
@@ -165,12 +233,13 @@
 RolloutStep MapRollout::next(const std::vector<RankView> &views,
                              std::optional<std::uint64_t> planned)
 {
-    if (!isWhole(views))
+    const bool isWhole = isWholeFrom(0, views);
+    if (!isWhole && !isWholeFrom(1, views))
         return {};
-    const RankView &first = views.front();
-    if (first.m_held && *first.m_held > first.m_step)
-        return nextWhileHeld(views, *first.m_held, planned);
-    return nextWhileFree(views, planned);
+    const auto held = heldStep(views);
+    if (!isWhole)
+        return held ? nextWhileHeldWithoutFirst(views, *held, planned) : RolloutStep();
+    return held ? nextWhileHeld(views, *held, planned) : nextWhileFree(views, planned);
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -92,6 +92,7 @@
     RankExperts m_experts;
     CountDifference m_countDifference;
     TimePoint m_coordinatedAt = Clock::now(); // When an earlier rank's agent last asked.
+    TimePoint m_askedByFirstAt = Clock::now(); // When that beside rank 0 did.
     bool m_isFollowing = false;
 };
 
@@ -211,6 +212,8 @@
     const auto number = readNumber(rank, 0, std::numeric_limits<std::uint32_t>::max());
     if (number && m_view && *number < m_view->m_rank)
         m_coordinatedAt = Clock::now();
+    if (number == 0U)
+        m_askedByFirstAt = Clock::now();
 }
 
 // The view is read last, so that it is the newest part of the answer.
@@ -223,7 +226,10 @@
                 return;
             }
             const ExpertCounts counts = hasCounts ? m_counts : ExpertCounts();
-            exchange->answer(statusOk, {}, writeRankStatus({*m_view, counts, m_experts}));
+            const auto sinceFirstAsked =
+                std::chrono::duration_cast<Milliseconds>(Clock::now() - m_askedByFirstAt);
+            exchange->answer(statusOk, {},
+                             writeRankStatus({*m_view, counts, m_experts, sinceFirstAsked}));
         });
     });
 }
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -37,7 +37,10 @@
 constexpr double loadBudgetMilliseconds = 350;
 constexpr std::size_t leastLoads = 3;
 // How long an agent may take to answer; on one network it takes a few milliseconds.
-constexpr Milliseconds statusTimeout{200};
+constexpr Milliseconds statusTimeout{120};
+// After this silence of the agent beside rank 0 towards all others, its VM counts as frozen. While
+// a group is held it asks each of them every few milliseconds.
+constexpr Milliseconds firstSilence{300};
 constexpr Milliseconds orderTimeout{120};
 // The same for an order with a map over a slow link.
 constexpr Milliseconds mapTimeout{300};
@@ -143,7 +146,8 @@
 
 void RankCoordinator::askEngine(const RankAccess &access)
 {
-    if (!m_isFullRound) {
+    const auto silent = m_silentUntil.find(access.m_engine);
+    if (!m_isFullRound || (silent != m_silentUntil.end() && Clock::now() < silent->second)) {
         oneLessUnanswered();
         return;
     }
@@ -193,6 +197,8 @@
 {
     const auto view = call.status() == statusOk ? m_parts.m_dialect.readView(call.body())
                                                 : std::optional<RankView>();
+    if (!view)
+        m_silentUntil[access.m_engine] = Clock::now() + silencePause;
     if (view && view->m_group == m_group) {
         m_rankAccess[view->m_rank] = access;
         m_ranks[view->m_rank] = {*view, {}, {}};
@@ -219,9 +225,12 @@
 // when they are in the midst of a change.
 std::optional<ExpertMap> RankCoordinator::mapInUse() const
 {
-    const auto known = m_maps.find(m_ranks.begin()->second.m_view.m_map);
+    const RankView &first = m_ranks.begin()->second.m_view;
+    const auto known = m_maps.find(first.m_map);
     if (known != m_maps.end())
         return known->second;
+    if (m_ranks.size() != first.m_ranks)
+        return std::nullopt;
     ExpertMap map;
     map.m_layers.assign(m_shape->m_layers, LayerPlacement(m_shape->m_experts));
     for (const auto &[rank, status] : m_ranks) {
@@ -291,7 +300,7 @@
     if (!m_plan && Clock::now() >= m_nextPlanAt)
         makePlan(now, false);
     const auto version = m_plan ? std::optional(m_plan->m_map.m_version) : std::nullopt;
-    RolloutStep step = m_rollout.next(now, version);
+    RolloutStep step = hasFirstOrItIsSilent() ? m_rollout.next(now, version) : RolloutStep();
     if (step.m_needsPlan) {
         makePlan(now, true);
         scheduleRound(holdPause);
@@ -317,15 +326,25 @@
         scheduleRound(isMakingSteps() ? busyPause : idlePause);
 }
 
+// A change isn't ended without rank 0 while the agent beside it still coordinates.
+bool RankCoordinator::hasFirstOrItIsSilent() const
+{
+    return m_ranks.contains(0)
+           || std::all_of(m_ranks.begin(), m_ranks.end(), [](const auto &item) {
+                  return item.second.m_sinceFirstAsked >= firstSilence;
+              });
+}
+
 // Plans a change by the demand, or, when one is needed to end a hold, one that changes nothing.
 void RankCoordinator::makePlan(const std::vector<RankView> &views, bool isForced)
 {
-    if (views.empty() || views.size() != views.front().m_ranks || !m_demand)
+    if (views.empty() || !m_demand || (views.size() != views.front().m_ranks && !isForced))
         return;
+    const std::uint32_t ranks = views.front().m_ranks;
     const auto current = mapInUse();
     if (!current || (!isForced && !m_demand->isTelling()))
         return;
-    MapChangeLimits limits = {{views.size(), m_shape->m_placesPerRank}, m_shape->m_newPerChange};
+    MapChangeLimits limits = {{ranks, m_shape->m_placesPerRank}, m_shape->m_newPerChange};
     const double loads = loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
     limits.m_newPerRankInAll = std::max(leastLoads, static_cast<std::size_t>(loads));
     auto planned = isForced ? current : planMapChange(*current, m_demand->loads(), limits);
@@ -342,11 +361,19 @@
         {{"group", *m_group},
          {"version", std::to_string(m_plan->m_map.m_version)},
          {"loads", std::to_string(countLoads(*current, m_plan->m_map))},
-         {"skew", std::to_string(skewOf(*current, m_demand->loads(), views.size()))},
-         {"skew_planned", std::to_string(skewOf(m_plan->m_map, m_demand->loads(), views.size()))},
+         {"skew", std::to_string(skewOf(*current, m_demand->loads(), ranks))},
+         {"skew_planned", std::to_string(skewOf(m_plan->m_map, m_demand->loads(), ranks))},
          {"forced", isForced ? "yes" : "no"}});
 }
 
+// Whether an order goes to the rank's engine instead of its agent: one that holds the group does,
+// or the VM that has just held it could freeze with the rank that has to let it go.
+bool RankCoordinator::isDirect(const RankOrder &order) const
+{
+    const bool isHold = order.m_type == RankOrderType::Hold || order.m_type == RankOrderType::Go;
+    return isSilent(order.m_rank) || (isHold && order.m_rank != m_ownRank);
+}
+
 bool RankCoordinator::isSilent(std::uint32_t rank) const
 {
     const auto silent = m_silentUntil.find(m_rankAccess.at(rank).m_agent);
@@ -361,7 +388,7 @@
     for (const RankOrder &order : orders) {
         if (!m_rankAccess.contains(order.m_rank))
             continue;
-        RankOrderMessage message = {order, static_cast<std::uint32_t>(m_ranks.size()), {}, {}};
+        RankOrderMessage message = {order, m_ranks.at(order.m_rank).m_view.m_ranks, {}, {}};
         if (order.m_type != RankOrderType::Prepare) {
             messages.push_back(std::move(message));
             continue;
@@ -388,7 +415,7 @@
     const RankOrder order = message.m_order;
     const RankAccess &access = m_rankAccess.at(order.m_rank);
     const ExpertMap *map = message.m_map ? &*message.m_map : nullptr;
-    const bool isDirect = isSilent(order.m_rank);
+    const bool isDirect = this->isDirect(order);
     m_ordering.push_back(std::make_unique<AgentCall>(
         m_parts.m_loop, m_parts.m_client, isDirect ? access.m_engine : access.m_agent, "POST",
         isDirect ? m_parts.m_dialect.orderTarget() : rankOrderTarget,
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -83,12 +83,14 @@
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
     void give(const RankOrderMessage &message, TimePoint deadline);
+    bool hasFirstOrItIsSilent() const;
+    bool isDirect(const RankOrder &order) const;
     bool isSilent(std::uint32_t rank) const;
 
     CoordinatorParts m_parts;
     Random m_random;
     std::vector<RankAccess> m_access;
-    std::map<SocketAddress, TimePoint> m_silentUntil; // Agents that didn't answer.
+    std::map<SocketAddress, TimePoint> m_silentUntil; // Agents and engines that didn't answer.
     std::uint32_t m_ownRank = 0;
     std::map<std::uint64_t, ExpertMap> m_maps; // By version; the one in use and later ones.
     std::optional<ExpertShape> m_shape;
--- a/src/burdockhead/rankagent/rankmessages.cpp
+++ b/src/burdockhead/rankagent/rankmessages.cpp
@@ -74,6 +74,7 @@
         for (const std::uint32_t expert : layer)
             writer.number(expert);
     }
+    writer.number(static_cast<std::uint64_t>(status.m_sinceFirstAsked.count()));
     return writer.take();
 }
 
@@ -93,6 +94,7 @@
         for (std::uint32_t &expert : layer)
             expert = static_cast<std::uint32_t>(reader.number());
     }
+    status.m_sinceFirstAsked = Milliseconds(static_cast<std::int64_t>(reader.number()));
     if (!reader.complete())
         return std::nullopt;
     return status;
--- a/src/burdockhead/rankagent/rankmessages.h
+++ b/src/burdockhead/rankagent/rankmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/base/socketaddress.h>
+#include <burdockhead/base/timepoint.h>
 #include <burdockhead/rankagent/enginedialect.h>
 
 #include <optional>
@@ -17,6 +18,7 @@
     RankView m_view;
     ExpertCounts m_counts;
     RankExperts m_experts;
+    Milliseconds m_sinceFirstAsked{0}; // Since the agent beside rank 0 last asked, or the start.
 
     friend bool operator==(const RankStatus &, const RankStatus &) = default;
 };
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -12,6 +12,11 @@
 constexpr std::size_t shortestDelay = 3;
 constexpr std::size_t longestDelay = 120;
 constexpr std::size_t longestLoading = 8;
+// How long a freeze lasts, and its part after which other coordinators act: longer than all
+// orders that are under way when it begins, except those that are carried out late.
+constexpr std::size_t freezeTime = 200;
+constexpr std::size_t silenceTime = 12;
+constexpr std::size_t longHold = 120;
 
 } // namespace
 
@@ -28,8 +33,14 @@
 
 void GroupSimulation::beginStep()
 {
-    if (m_held == m_step + 1)
+    if (m_held == m_step + 1) {
+        const bool areArmed = std::all_of(m_ranks.begin() + 1, m_ranks.end(),
+                                          [](const Rank &rank) { return rank.m_armed; });
+        m_needlessHolds += m_now - m_heldSince > longHold && !areArmed ? 1 : 0;
         return;
+    }
+    m_holdsEndedWhileFrozen += isFrozen() && m_heldSince < m_frozenAt ? 1 : 0;
+    m_heldSince = m_now;
     ++m_step;
     for (Rank &rank : m_ranks) {
         if (!rank.m_armed || rank.m_armed->m_step != m_step)
@@ -65,6 +76,11 @@
 {
     const RankOrder &order = pending.m_order;
     Rank &rank = m_ranks.at(order.m_rank);
+    // What reaches a frozen VM is read when it wakes.
+    if (order.m_rank == 0 && isFrozen()) {
+        m_late.emplace(m_frozenUntil, pending);
+        return;
+    }
     switch (order.m_type) {
     case RankOrderType::Prepare:
         if (order.m_version <= rank.m_highestVersion || rank.m_armed)
@@ -84,11 +100,16 @@
             rank.m_armed.reset();
         return;
     case RankOrderType::Hold:
-        if (order.m_step > m_step && !m_held)
+        if (order.m_rank + 1 == m_ranks.size() && order.m_step > m_step && !m_held)
             m_held = order.m_step;
+        if (!isFrozen() && chance() < m_faults.m_frozen) {
+            // Some moments later, so that each part of a change is met.
+            m_frozenAt = m_now + m_random() % silenceTime;
+            m_frozenUntil = m_frozenAt + freezeTime;
+        }
         return;
     case RankOrderType::Go:
-        if (m_held == order.m_step)
+        if (order.m_rank + 1 == m_ranks.size() && m_held == order.m_step)
             m_held.reset();
         return;
     }
@@ -113,7 +134,7 @@
 std::vector<RankView> GroupSimulation::views() const
 {
     std::vector<RankView> views;
-    for (std::size_t index = 0; index < m_ranks.size(); ++index) {
+    for (std::size_t index = isFrozen() ? 1 : 0; index < m_ranks.size(); ++index) {
         const Rank &rank = m_ranks[index];
         RankView view;
         view.m_group = "g";
@@ -126,16 +147,28 @@
         if (rank.m_prepared)
             view.m_prepared = rank.m_prepared->m_version;
         view.m_armed = rank.m_armed;
-        if (index == 0)
+        if (index + 1 == m_ranks.size())
             view.m_held = m_held;
         views.push_back(view);
     }
     return views;
 }
 
+// While the first one's VM freezes now and then, the others take its place after a silence.
+GroupSimulation::Coordinator &GroupSimulation::nextCoordinator()
+{
+    if (m_faults.m_frozen == 0 || m_coordinators.size() < 2)
+        return m_coordinators[m_random() % m_coordinators.size()];
+    return isFrozen() ? m_coordinators[1 + m_random() % (m_coordinators.size() - 1)]
+                      : m_coordinators.front();
+}
+
 void GroupSimulation::round()
 {
-    Coordinator &coordinator = m_coordinators[m_random() % m_coordinators.size()];
+    if (m_faults.m_frozen > 0 && isFrozen()
+        && (m_coordinators.size() < 2 || m_now < m_frozenAt + silenceTime))
+        return;
+    Coordinator &coordinator = nextCoordinator();
     const bool isPaused = !coordinator.m_oldViews.empty() && chance() < m_faults.m_paused;
     const std::vector<RankView> now = isPaused ? coordinator.m_oldViews : views();
     if (!isPaused || m_random() % 4 == 0)
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -20,6 +20,8 @@
     double m_restart = 0;    // Rounds after which the coordinator starts anew.
     double m_paused = 0;     // Rounds whose views are old when their orders are given.
     std::size_t m_coordinators = 1; // That act side by side, as when one wakes from a freeze.
+    double m_frozen = 0; // Orders to hold after which the VM of the first coordinator and rank 0
+                         // freezes; the others act only while it is frozen.
 };
 
 // Gives the next orders; planned is the version that the coordinator wants.
@@ -40,6 +42,11 @@
     bool recovers(const std::function<NextOrders()> &makeCoordinator);
 
     bool hasSplit() const { return m_hasSplit; }
+
+    // Moments in which the group was held through most of a freeze although another rank than
+    // rank 0 wasn't armed, and holds that ended within a freeze.
+    std::size_t needlessHolds() const { return m_needlessHolds; }
+    std::size_t holdsEndedWhileFrozen() const { return m_holdsEndedWhileFrozen; }
     std::size_t mapChanges() const { return m_mapChanges; }
 
 private:
@@ -82,13 +89,20 @@
     void carryOut(const Pending &pending);
     void give(const RankOrder &order, std::uint64_t content);
     std::vector<RankView> views() const;
+    bool isFrozen() const { return m_frozenAt <= m_now && m_now < m_frozenUntil; }
+    Coordinator &nextCoordinator();
     void round();
 
     GroupFaults m_faults;
     Random m_random;
     std::vector<Rank> m_ranks;
     std::uint64_t m_step = 1;
-    std::optional<std::uint64_t> m_held;
+    std::optional<std::uint64_t> m_held; // By the last rank.
+    std::size_t m_heldSince = 0;
+    std::size_t m_needlessHolds = 0;
+    std::size_t m_holdsEndedWhileFrozen = 0;
+    std::size_t m_frozenAt = 0;
+    std::size_t m_frozenUntil = 0;
     std::size_t m_now = 0;
     std::multimap<std::size_t, Pending> m_late;
     std::vector<Coordinator> m_coordinators;
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -44,9 +44,11 @@
 {
     return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
         RolloutStep step = MapRollout().next(views, planned);
-        const bool arms = !step.m_orders.empty() && views.front().m_held
+        const auto held = views.back().m_held;
+        const bool arms = !step.m_orders.empty() && held
                           && step.m_orders.front().m_type == RankOrderType::Arm;
-        if (arms && step.m_orders.size() < views.size()) {
+        // At the first look all ranks but rank 0 are told to arm.
+        if (arms && step.m_orders.size() < views.size() - 1) {
             step.m_orders.clear();
             for (const RankView &view : views) {
                 if (view.m_armed)
@@ -54,18 +56,48 @@
                                              view.m_armed->m_version, 0});
             }
             step.m_orders.push_back(
-                {0, RankOrderType::Go, views.front().m_epoch, 0, *views.front().m_held});
+                {views.back().m_rank, RankOrderType::Go, views.back().m_epoch, 0, *held});
         }
         return step;
     };
 }
 
+// Lets the group go without rank 0 although the others may all be armed.
+NextOrders makeCareless()
+{
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
+        if (views.size() == ranks || !views.back().m_held)
+            return MapRollout().next(views, planned);
+        RolloutStep step;
+        for (const RankView &view : views) {
+            if (view.m_armed)
+                step.m_orders.push_back({view.m_rank, RankOrderType::Disarm, view.m_epoch,
+                                         view.m_armed->m_version, 0});
+        }
+        if (step.m_orders.empty())
+            step.m_orders.push_back({views.back().m_rank, RankOrderType::Go, views.back().m_epoch,
+                                     0, *views.back().m_held});
+        return step;
+    };
+}
+
+// Waits for every rank's word.
+NextOrders makeWaiting()
+{
+    const auto rollout = std::make_shared<MapRollout>();
+    return [rollout](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
+        return views.size() == ranks ? rollout->next(views, planned) : RolloutStep();
+    };
+}
+
 const GroupFaults noFaults;
 const GroupFaults lateOrders = {0.2, 0.3, 0.05, 0, 0};
 const GroupFaults restarts = {0.1, 0.2, 0.05, 0.05, 0};
 const GroupFaults everything = {0.2, 0.3, 0.1, 0.03, 0.1};
 const GroupFaults twoCoordinators = {0, 0, 0, 0, 0.3, 2};
 const GroupFaults everythingTwice = {0.2, 0.3, 0.1, 0.03, 0.3, 2};
+const GroupFaults freezes = {0, 0, 0, 0, 0, 2, 0.5};
+const GroupFaults freezesAndLateOrders = {0.1, 0.2, 0.05, 0.02, 0.2, 3, 0.5};
 
 std::size_t splits(const GroupFaults &faults, const std::function<NextOrders()> &make)
 {
@@ -111,6 +143,29 @@
     BOOST_TEST(splits(everythingTwice, makeRollout) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(no_step_is_split_when_the_vm_of_the_coordinator_and_rank_0_freezes)
+{
+    BOOST_TEST(splits(freezes, makeRollout) == 0U);
+    BOOST_TEST(splits(freezesAndLateOrders, makeRollout) == 0U);
+    BOOST_TEST(splits(freezes, makeCareless) > 0U);
+}
+
+// The load pattern of a freeze that meets the group held: nothing runs until it goes on.
+BOOST_AUTO_TEST_CASE(a_deputy_ends_a_hold_whose_coordinator_has_frozen_with_rank_0)
+{
+    std::size_t ended = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        GroupSimulation group(ranks, freezes, seed);
+        group.run(rounds, makeRollout);
+        BOOST_TEST(group.needlessHolds() == 0U, "seed " << seed);
+        ended += group.holdsEndedWhileFrozen();
+    }
+    BOOST_TEST(ended > seeds / 4);
+    GroupSimulation waiting(ranks, freezes, 1);
+    waiting.run(rounds, makeWaiting);
+    BOOST_TEST(waiting.needlessHolds() > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_group_that_faults_left_held_goes_on)
 {
     for (const GroupFaults &faults : {everything, everythingTwice}) {
