Take experts off slow ranks

Change: ranks' reports of their slowness reach the coordinator, and the balancer weighs a rank's load by it, up to leaving the rank without experts.

--- a/src/burdockhead/expertmap/grouploads.cpp
+++ b/src/burdockhead/expertmap/grouploads.cpp
@@ -48,14 +48,28 @@
     return result;
 }
 
+std::vector<double> rankTimes(const LayerPlacement &placement, const LayerLoads &loads,
+                              const GroupShape &shape)
+{
+    std::vector<double> times = rankLoads(placement, loads, shape.m_ranks);
+    for (std::size_t rank = 0; rank < shape.m_slowness.size(); ++rank)
+        times[rank] *= shape.m_slowness[rank];
+    return times;
+}
+
 double skewOf(const ExpertMap &map, const GroupLoads &loads, std::size_t ranks)
+{
+    return skewOf(map, loads, GroupShape{ranks, 0});
+}
+
+double skewOf(const ExpertMap &map, const GroupLoads &loads, const GroupShape &shape)
 {
     double heaviest = 0;
     double mean = 0;
     for (std::size_t layer = 0; layer < map.m_layers.size(); ++layer) {
-        const auto perRank = rankLoads(map.m_layers[layer], loads.m_layers[layer], ranks);
-        heaviest += *std::max_element(perRank.begin(), perRank.end());
-        mean += layerMean(loads.m_layers[layer], ranks);
+        const auto times = rankTimes(map.m_layers[layer], loads.m_layers[layer], shape);
+        heaviest += *std::max_element(times.begin(), times.end());
+        mean += layerMean(loads.m_layers[layer], shape.m_ranks);
     }
     return mean > 0 ? heaviest / mean : 1;
 }
--- a/src/burdockhead/expertmap/grouploads.h
+++ b/src/burdockhead/expertmap/grouploads.h
@@ -22,6 +22,7 @@
 {
     std::size_t m_ranks = 1;
     std::size_t m_slotsPerRank = 1;
+    std::vector<double> m_slowness = {}; // Time for the same work, by rank; empty: all alike.
 
     friend bool operator==(const GroupShape &, const GroupShape &) = default;
 };
@@ -31,11 +32,18 @@
 std::vector<double> rankLoads(const LayerPlacement &placement, const LayerLoads &loads,
                               std::size_t ranks);
 
+// The same as the time that each rank takes for them.
+std::vector<double> rankTimes(const LayerPlacement &placement, const LayerLoads &loads,
+                              const GroupShape &shape);
+
 // The heaviest rank's tokens over the ranks' mean, over all layers: ranks wait for the
 // heaviest one in each layer, so the heaviest of each layer are added up. 1 is perfect
 // balance, also given without any load.
 double skewOf(const ExpertMap &map, const GroupLoads &loads, std::size_t ranks);
 
+// The same in time: the slowest rank's over what the mean load takes on a rank that isn't slow.
+double skewOf(const ExpertMap &map, const GroupLoads &loads, const GroupShape &shape);
+
 // The least skew that any placement could reach: the mean, or the heaviest share that is
 // left when the slots are spent on replicas of the hottest experts.
 double skewLowerBound(const GroupLoads &loads, const GroupShape &shape);
--- a/src/burdockhead/expertmap/layerbalancer.cpp
+++ b/src/burdockhead/expertmap/layerbalancer.cpp
@@ -18,7 +18,7 @@
     , m_loads(loads)
     , m_placement(placement)
     , m_held(shape.m_ranks)
-    , m_rankLoads(rankLoads(placement, loads, shape.m_ranks))
+    , m_rankLoads(rankTimes(placement, loads, shape))
 {
     for (std::size_t expert = 0; expert < placement.size(); ++expert) {
         for (const std::uint16_t rank : placement[expert])
@@ -67,7 +67,7 @@
 // that can't help.
 bool LayerBalancer::relieves(std::uint16_t heavy, std::uint16_t target, double added) const
 {
-    return m_rankLoads[target] + added < m_rankLoads[heavy];
+    return m_rankLoads[target] + added * slowness(target) < m_rankLoads[heavy];
 }
 
 // The lightest ranks, and the lightest among those that can give up a slot.
@@ -198,7 +198,7 @@
         const std::uint16_t rank = delta->first;
         double load = m_rankLoads[rank];
         for (; delta != m_deltas.end() && delta->first == rank; ++delta)
-            load += delta->second;
+            load += delta->second * slowness(rank);
         heaviest = std::max(heaviest, load);
     }
     return heaviest;
@@ -232,7 +232,7 @@
         else
             std::erase(m_held[change.m_rank], change.m_expert);
     }
-    m_rankLoads = rankLoads(m_placement, m_loads, m_shape.m_ranks);
+    m_rankLoads = rankTimes(m_placement, m_loads, m_shape);
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/expertmap/layerbalancer.h
+++ b/src/burdockhead/expertmap/layerbalancer.h
@@ -9,7 +9,8 @@
 
 namespace burdockhead {
 
-// Improves the placement of one layer move by move, each time relieving the heaviest rank.
+// Improves the placement of one layer move by move, each time relieving the heaviest rank. A slow
+// rank counts as heavier for the same load, up to being left without any expert.
 class LayerBalancer
 {
 public:
@@ -35,6 +36,10 @@
     {
         return m_held[rank].size() < m_shape.m_slotsPerRank;
     }
+    double slowness(std::size_t rank) const
+    {
+        return rank < m_shape.m_slowness.size() ? m_shape.m_slowness[rank] : 1;
+    }
     bool isDroppable(std::size_t expert) const { return m_placement[expert].size() > 1; }
     double share(std::size_t expert, std::size_t addedReplicas) const;
     bool relieves(std::uint16_t heavy, std::uint16_t target, double added) const;
@@ -55,7 +60,7 @@
     const LayerLoads &m_loads;
     LayerPlacement m_placement;
     std::vector<std::vector<std::uint16_t>> m_held; // Experts, by rank.
-    std::vector<double> m_rankLoads;
+    std::vector<double> m_rankLoads; // As time; slow ranks take more.
     std::optional<Candidate> m_best;
     std::vector<std::pair<std::uint16_t, double>> m_deltas; // Scratch: by rank.
 };
--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -94,8 +94,8 @@
     ExpertMap planned = current;
     for (std::size_t layer = 0; layer < plans.size(); ++layer)
         planned.m_layers[layer] = std::move(plans[layer].m_placement);
-    const double before = skewOf(current, loads, limits.m_shape.m_ranks);
-    const double after = skewOf(planned, loads, limits.m_shape.m_ranks);
+    const double before = skewOf(current, loads, limits.m_shape);
+    const double after = skewOf(planned, loads, limits.m_shape);
     if (before - after < limits.m_leastGain)
         return std::nullopt;
     return planned;
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -52,6 +52,17 @@
 constexpr int statusOk = 200;
 constexpr int firstFailureStatus = 400;
 
+// By rank; a rank that isn't known counts as in good health.
+std::vector<double> slownessOf(const std::vector<RankView> &views)
+{
+    std::vector<double> slowness(views.front().m_ranks, 1);
+    for (const RankView &view : views) {
+        if (view.m_rank < slowness.size())
+            slowness[view.m_rank] = view.m_slowness;
+    }
+    return slowness;
+}
+
 } // namespace
 
 RankCoordinator::RankCoordinator(const CoordinatorParts &parts, Random seed)
@@ -344,7 +355,8 @@
     const auto current = mapInUse();
     if (!current || (!isForced && !m_demand->isTelling()))
         return;
-    MapChangeLimits limits = {{ranks, m_shape->m_placesPerRank}, m_shape->m_newPerChange};
+    MapChangeLimits limits = {{ranks, m_shape->m_placesPerRank, slownessOf(views)},
+                              m_shape->m_newPerChange};
     const double loads = loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
     limits.m_newPerRankInAll = std::max(leastLoads, static_cast<std::size_t>(loads));
     auto planned = isForced ? current : planMapChange(*current, m_demand->loads(), limits);
@@ -361,8 +373,8 @@
         {{"group", *m_group},
          {"version", std::to_string(m_plan->m_map.m_version)},
          {"loads", std::to_string(countLoads(*current, m_plan->m_map))},
-         {"skew", std::to_string(skewOf(*current, m_demand->loads(), ranks))},
-         {"skew_planned", std::to_string(skewOf(m_plan->m_map, m_demand->loads(), ranks))},
+         {"skew", std::to_string(skewOf(*current, m_demand->loads(), limits.m_shape))},
+         {"skew_planned", std::to_string(skewOf(m_plan->m_map, m_demand->loads(), limits.m_shape))},
          {"forced", isForced ? "yes" : "no"}});
 }
 
--- a/src/burdockhead/rankagent/rankmessages.cpp
+++ b/src/burdockhead/rankagent/rankmessages.cpp
@@ -2,12 +2,15 @@
 #include <burdockhead/codec/messagewriter.h>
 #include <burdockhead/rankagent/rankmessages.h>
 
+#include <cmath>
+
 namespace burdockhead {
 
 namespace {
 
 constexpr std::size_t maxNumbers = 65536;
 constexpr std::size_t maxLayers = 1024;
+constexpr double slownessUnit = 1000; // Written in thousandths.
 
 void writeOptional(MessageWriter &writer, const std::optional<std::uint64_t> &value)
 {
@@ -36,6 +39,7 @@
     const ArmedMap armed = view.m_armed.value_or(ArmedMap());
     writer.number(armed.m_version).number(armed.m_step);
     writeOptional(writer, view.m_held);
+    writer.number(static_cast<std::uint64_t>(std::lround(view.m_slowness * slownessUnit)));
 }
 
 RankView readView(MessageReader &reader)
@@ -56,6 +60,7 @@
     if (isArmed)
         view.m_armed = ArmedMap{version, step};
     view.m_held = readOptional(reader);
+    view.m_slowness = static_cast<double>(reader.number()) / slownessUnit;
     return view;
 }
 
--- a/src/burdockhead/rankagent/rankview.h
+++ b/src/burdockhead/rankagent/rankview.h
@@ -29,6 +29,7 @@
     std::optional<std::uint64_t> m_prepared; // A version whose experts are all loaded.
     std::optional<ArmedMap> m_armed;
     std::optional<std::uint64_t> m_held; // The step before which the group waits.
+    double m_slowness = 1;               // Time for the same work, against a rank in good health.
 
     friend bool operator==(const RankView &, const RankView &) = default;
 };
--- a/tests/internal/rankagent/test_mapplanner.cpp
+++ b/tests/internal/rankagent/test_mapplanner.cpp
@@ -82,4 +82,29 @@
     BOOST_TEST(!planMapChange(map, even, limits).has_value());
 }
 
+// The load pattern of a rank that takes twelve times as long for everything: all ranks wait for it
+// in each step.
+BOOST_AUTO_TEST_CASE(a_slow_rank_gives_its_experts_to_the_others)
+{
+    MapChangeLimits slow = limits;
+    slow.m_shape.m_slowness.assign(ranks, 1);
+    slow.m_shape.m_slowness[3] = 12;
+    const GroupLoads loads = demand(0);
+    ExpertMap map = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
+    for (int change = 0; change < 4; ++change) {
+        const auto planned = planMapChange(map, loads, slow);
+        if (!planned)
+            break;
+        BOOST_TEST(fits(*planned, slow.m_shape));
+        map = *planned;
+    }
+    const double ours = skewOf(map, loads, slow.m_shape);
+    ExpertMap naive = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
+    while (const auto planned = planMapChange(naive, loads, limits))
+        naive = *planned;
+    const double blind = skewOf(naive, loads, slow.m_shape);
+    BOOST_TEST(ours < 2, ours << " times the mean, without regard to slowness " << blind);
+    BOOST_TEST(blind > 3 * ours);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/internal/rankagent/test_rankmessages.cpp
+++ b/tests/internal/rankagent/test_rankmessages.cpp
@@ -8,7 +8,7 @@
 RankStatus someStatus()
 {
     RankStatus status;
-    status.m_view = {"g0", 3, 5, 16, true, 1777694836900, 812, 4, 5, ArmedMap{5, 820}, 820};
+    status.m_view = {"g0", 3, 5, 16, true, 1777694836900, 812, 4, 5, ArmedMap{5, 820}, 820, 2.5};
     status.m_counts = {3, {5120, 88, 940}};
     status.m_experts = {4, {{0, 2}, {1, 0}}};
     status.m_sinceFirstAsked = Milliseconds(350);
