Follow the store with long watches that gossip makes safe

Change: watches of a fleet last up to 30 s, each for a random part of it; gateways gossip the newest change of each collection that they have taken, and one that is behind for half a second asks anew on a new connection. In an outage one follower of a process tries, the others wait for it.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -57,6 +57,7 @@
     void setDataCentreOut(const std::string &name, bool isOut);
     void updateReadiness();
     void refresh();
+    void compareChanges();
     void writeLines();
     void reload();
     void watchSettings();
@@ -78,6 +79,7 @@
     PeerTable m_peers;
     PeerLink m_peerLink;
     CallRouter m_router;
+    StoreOutage m_storeOutage;
     StoreFollower m_configurationFollower;
     StoreFollower m_endpointFollower;
     StoreFollower m_dataCentreFollower;
@@ -122,7 +124,8 @@
 
 StoreFollowerParts GatewayProcess::followerParts()
 {
-    return {m_loop, m_storeClient, m_dialects.m_store, m_settings.m_store, m_lines, m_metrics};
+    return {m_loop, m_storeClient, m_dialects.m_store, m_settings.m_store, m_lines, m_metrics,
+            m_storeOutage};
 }
 
 PeerRecord GatewayProcess::ownRecord() const
@@ -221,7 +224,7 @@
             std::any_of(changes.begin(), changes.end(),
                         [&](const StoreChange &change) { return change.m_name == name; });
         if (!isListed)
-            all.push_back({name, true, {}});
+            all.push_back({name, true, 0, {}});
     }
     takeEndpoints(all);
 }
@@ -264,8 +267,28 @@
     }
 }
 
+// Tells the other gateways which changes of the store this one has taken, and asks the store
+// anew for those that others have and its watches haven't brought.
+void GatewayProcess::compareChanges()
+{
+    const TimePoint now = Clock::now();
+    const std::array<StoreFollower *, storeKinds> followers = {
+        &m_configurationFollower, &m_endpointFollower, &m_dataCentreFollower};
+    StoreRevisions own = {};
+    for (std::size_t kind = 0; kind < storeKinds; ++kind)
+        own[kind] = followers[kind]->newestChange();
+    m_peers.setNewestChanges(own);
+    const StoreRevisions newest = m_peers.newestChanges(now);
+    const std::size_t fleet = m_peers.livePeers(now).size() + 1;
+    for (std::size_t kind = 0; kind < storeKinds; ++kind) {
+        followers[kind]->setFleet(fleet);
+        followers[kind]->noteKnownElsewhere(newest[kind]);
+    }
+}
+
 void GatewayProcess::refresh()
 {
+    compareChanges();
     m_endpoints.dropGone(Clock::now());
     m_router.refresh();
     m_loop.callAt(Clock::now() + refreshInterval, [this] { refresh(); });
--- a/src/burdockhead/gateway/peerlink.cpp
+++ b/src/burdockhead/gateway/peerlink.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds beatInterval{400};
 constexpr std::size_t maxDatagramBytes = 8192;
 constexpr std::size_t maxRecords = 128;
-constexpr std::uint64_t messageVersion = 1;
+constexpr std::uint64_t messageVersion = 2;
 
 SocketAddress readAddress(MessageReader &reader)
 {
@@ -38,6 +38,8 @@
             .number(static_cast<std::uint64_t>(record.m_state))
             .text(record.m_clients.toString())
             .text(record.m_peers.toString());
+        for (const std::uint64_t revision : record.m_newestChanges)
+            writer.number(revision);
     }
     return writer.take();
 }
@@ -58,6 +60,8 @@
         record.m_state = static_cast<PeerState>(state);
         record.m_clients = readAddress(reader);
         record.m_peers = readAddress(reader);
+        for (std::uint64_t &revision : record.m_newestChanges)
+            revision = reader.number();
     }
     if (!reader.complete())
         return std::nullopt;
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -105,6 +105,16 @@
     return addresses;
 }
 
+StoreRevisions PeerTable::newestChanges(TimePoint now) const
+{
+    StoreRevisions newest = m_own.m_newestChanges;
+    for (const auto &[name, peer] : m_peers) {
+        for (std::size_t kind = 0; lives(peer, now) && kind < storeKinds; ++kind)
+            newest[kind] = std::max(newest[kind], peer.m_record.m_newestChanges[kind]);
+    }
+    return newest;
+}
+
 std::size_t PeerTable::fleetSize(TimePoint now) const
 {
     std::size_t size = 1;
--- a/src/burdockhead/gateway/peertable.h
+++ b/src/burdockhead/gateway/peertable.h
@@ -4,6 +4,7 @@
 #include <burdockhead/base/random.h>
 #include <burdockhead/base/socketaddress.h>
 #include <burdockhead/base/timepoint.h>
+#include <burdockhead/gateway/storedialect.h>
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
     PeerState m_state = PeerState::Starting;
     SocketAddress m_clients; // Where clients connect.
     SocketAddress m_peers;   // Where it hears from other gateways.
+    StoreRevisions m_newestChanges = {}; // That it has taken from the store.
 
     friend bool operator==(const PeerRecord &, const PeerRecord &) = default;
 };
@@ -39,6 +41,7 @@
     PeerTable(PeerRecord own, std::vector<SocketAddress> seeds, Random seed);
 
     void setState(PeerState state) { m_own.m_state = state; }
+    void setNewestChanges(const StoreRevisions &changes) { m_own.m_newestChanges = changes; }
     void setSeeds(std::vector<SocketAddress> seeds) { m_seeds = std::move(seeds); }
     const PeerRecord &own() const { return m_own; }
 
@@ -55,6 +58,9 @@
     // Where clients may connect: every gateway that lives and is ready.
     std::vector<SocketAddress> readyClients(TimePoint now) const;
 
+    // The newest changes of the store that any gateway which lives has taken.
+    StoreRevisions newestChanges(TimePoint now) const;
+
     // Gateways that a bound on the whole fleet is divided among: all that were heard of lately,
     // and not fewer than the smallest fleet while this one has only just started.
     std::size_t fleetSize(TimePoint now) const;
--- a/src/burdockhead/gateway/storedialect.h
+++ b/src/burdockhead/gateway/storedialect.h
@@ -3,6 +3,8 @@
 #include <burdockhead/gateway/endpointentry.h>
 #include <burdockhead/gateway/gatewayconfiguration.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,12 +14,17 @@
 namespace burdockhead {
 
 // The collections of the platform's store that a gateway follows.
-enum class StoreKind {
+enum class StoreKind : std::uint8_t {
     Configuration,
     Endpoints,
     DataCentresOut, // One object for each data centre that gets no requests.
 };
 
+constexpr std::size_t storeKinds = 3;
+
+// The newest change that is known of each collection, by the store's revision of it.
+using StoreRevisions = std::array<std::uint64_t, storeKinds>;
+
 // An object that can't be used, and why.
 struct UnusableObject
 {
@@ -31,6 +38,7 @@
 {
     std::string m_name;
     bool m_isRemoved = false;
+    std::uint64_t m_revision = 0; // Of the store, when it was changed.
     std::variant<std::monostate, GatewayConfigurationPointer, EndpointEntry, UnusableObject>
         m_value;
 };
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-// How long a watch may wait for a change. Each watch is a call that is paid for; a store that
-// hangs with the connection alive is noticed within this time and the margin.
-constexpr Milliseconds watchTime{4000};
+// How much longer than a watch its answer may take.
 constexpr Milliseconds watchMargin{700};
 // Between a change and the next watch: changes come in bursts, and one call takes several.
 constexpr Milliseconds burstPause{300};
@@ -21,6 +19,8 @@
 constexpr Milliseconds firstPause{50};
 constexpr Milliseconds longestPause{800};
 constexpr Milliseconds maxIdle{3000};
+// How often a follower looks whether another one has reached the store again.
+constexpr Milliseconds outagePoll{50};
 constexpr int statusOk = 200;
 
 } // namespace
@@ -31,6 +31,7 @@
     , m_kind(kind)
     , m_handlers(std::move(handlers))
     , m_random(seed)
+    , m_schedule(Random(m_random()))
 {}
 
 StoreFollower::~StoreFollower()
@@ -60,11 +61,41 @@
 {
     m_call.reset();
     m_parts.m_loop.cancel(m_timer);
+    if (m_failures > 0 && m_parts.m_outage.mayCall(m_kind))
+        m_parts.m_outage.noteEnd();
+}
+
+void StoreFollower::noteKnownElsewhere(std::uint64_t newestChange)
+{
+    if (!m_isWatching || !m_call || !m_schedule.shouldAskAnew(newestChange, Clock::now()))
+        return;
+    m_parts.m_lines.add("store_watch_behind", {{"collection", name()},
+                                               {"revision", std::to_string(m_revision)},
+                                               {"known_elsewhere", std::to_string(newestChange)}});
+    // On a new connection, since the old one may be silent.
+    m_call.reset();
+    m_parts.m_loop.cancel(m_timer);
+    ask();
+}
+
+// Waits while another follower of the process tries whether the store is back.
+void StoreFollower::askWhenAllowed()
+{
+    if (m_parts.m_outage.mayCall(m_kind)) {
+        ask();
+        return;
+    }
+    m_timer = m_parts.m_loop.callAt(Clock::now() + outagePoll, [this] {
+        m_timer = 0;
+        askWhenAllowed();
+    });
 }
 
 void StoreFollower::ask()
 {
     const TimePoint now = Clock::now();
+    const Milliseconds watchTime =
+        m_isWatching ? m_schedule.nextWatchTime(m_fleet) : Milliseconds(0);
     const std::string target = m_isWatching
                                    ? m_parts.m_dialect.watchTarget(m_kind, m_revision, watchTime)
                                    : m_parts.m_dialect.listTarget(m_kind, m_listedUpTo);
@@ -135,6 +166,8 @@
         ask();
         return;
     }
+    for (const StoreChange &change : page->m_changes)
+        m_schedule.noteSeen(change.m_revision);
     m_handlers.m_changed(page->m_changes);
     m_timer = m_parts.m_loop.callAt(Clock::now() + burstPause, [this] {
         m_timer = 0;
@@ -157,6 +190,8 @@
     m_listedUpTo.clear();
     m_isWatching = true;
     m_isListed = true;
+    for (const StoreChange &change : m_pages)
+        m_schedule.noteSeen(change.m_revision);
     m_handlers.m_listed(m_pages);
     m_pages.clear();
 }
@@ -170,6 +205,7 @@
                                                {"failures", std::to_string(m_failures)}});
     }
     m_failures = 0;
+    m_parts.m_outage.noteEnd();
 }
 
 void StoreFollower::failed(const std::string &reason)
@@ -185,13 +221,14 @@
             "store_lost",
             {{"collection", name()}, {"reason", reason}, {"revision", std::to_string(m_revision)}});
     }
+    m_parts.m_outage.noteFailure(m_kind);
     const Milliseconds pause =
         std::min(firstPause * (1U << std::min(m_failures - 1, 5U)), longestPause);
     // Spread over half of the time, so that the fleet doesn't ask at one moment.
     const Milliseconds spread = pause / 2 + pause * static_cast<int>(m_random() % 100) / 200;
     m_timer = m_parts.m_loop.callAt(Clock::now() + spread, [this] {
         m_timer = 0;
-        ask();
+        askWhenAllowed();
     });
 }
 
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -2,6 +2,8 @@
 
 #include <burdockhead/base/random.h>
 #include <burdockhead/gateway/storedialect.h>
+#include <burdockhead/gateway/storeoutage.h>
+#include <burdockhead/gateway/watchschedule.h>
 #include <burdockhead/net/httpclientpool.h>
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
@@ -22,6 +24,7 @@
     SocketAddress m_store;
     LineSink &m_lines;
     Metrics &m_metrics;
+    StoreOutage &m_outage;
 };
 
 // Follows one collection of the store: lists it, then watches for changes, and lists again
@@ -46,6 +49,13 @@
     void start();
     void stop();
 
+    // How many gateways tell each other of changes; the length of watches depends on it.
+    void setFleet(std::size_t size) { m_fleet = size; }
+
+    // The newest change that this follower has taken, and what another gateway has.
+    std::uint64_t newestChange() const { return m_schedule.newest(); }
+    void noteKnownElsewhere(std::uint64_t newestChange);
+
     // Whether the collection has been listed once.
     bool isListed() const { return m_isListed; }
 
@@ -55,6 +65,7 @@
     void callEnded(CallEnd end) override;
 
     void ask();
+    void askWhenAllowed();
     void answered();
     void takeList(const StorePage &page);
     void failed(const std::string &reason);
@@ -74,6 +85,8 @@
     std::uint64_t m_revision = 0;
     std::string m_listedUpTo;
     std::vector<StoreChange> m_pages;
+    WatchSchedule m_schedule;
+    std::size_t m_fleet = 1;
     unsigned m_failures = 0;
     TimePoint m_lostAt;
 };
--- /dev/null
+++ b/src/burdockhead/gateway/watchschedule.cpp
@@ -0,0 +1,50 @@
+#include <burdockhead/gateway/watchschedule.h>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace burdockhead {
+
+namespace {
+
+// The shortest watch, and the longest in a fleet of one; the store takes 30 s at the most. Each
+// gateway adds so much that some watch of the fleet ends about every two seconds.
+constexpr Milliseconds shortestWatch{1000};
+constexpr Milliseconds longestAlone{4000};
+constexpr Milliseconds longestForGateway{1300};
+constexpr Milliseconds longestWatch{30000};
+// How long another gateway may know a newer change before this one asks anew: a watch brings it
+// within milliseconds, or after the pause that follows the last change.
+constexpr Milliseconds behindTime{500};
+
+} // namespace
+
+Milliseconds WatchSchedule::nextWatchTime(std::size_t fleet)
+{
+    const Milliseconds longest = std::clamp(longestForGateway * static_cast<int>(fleet),
+                                            longestAlone, longestWatch);
+    return shortestWatch
+           + Milliseconds(static_cast<std::int64_t>(
+               m_random() % static_cast<std::uint64_t>((longest - shortestWatch).count())));
+}
+
+void WatchSchedule::noteSeen(std::uint64_t revision)
+{
+    m_newest = std::max(m_newest, revision);
+    m_behindSince = TimePoint::max();
+}
+
+bool WatchSchedule::shouldAskAnew(std::uint64_t newestElsewhere, TimePoint now)
+{
+    if (newestElsewhere <= m_newest) {
+        m_behindSince = TimePoint::max();
+        return false;
+    }
+    m_behindSince = std::min(m_behindSince, now);
+    if (now < m_behindSince + behindTime)
+        return false;
+    noteSeen(newestElsewhere);
+    return true;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/watchschedule.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <burdockhead/base/random.h>
+#include <burdockhead/base/timepoint.h>
+
+#include <cstdint>
+
+namespace burdockhead {
+
+// How long a watch of the store may wait, and when it is to be asked anew. Each watch is a call
+// that is paid for, and a connection to the store may go silent without a reset. So the watches
+// of a fleet are long and end at different moments: one of them soon notices what the silent
+// ones miss, and by gossip all hear of the change and ask anew. Answers the load pattern of a
+// large fleet whose calls to the store grow with its size.
+class WatchSchedule
+{
+public:
+    explicit WatchSchedule(Random seed)
+        : m_random(seed)
+    {}
+
+    // How long the next watch may wait, in a fleet of so many gateways that hear of each other.
+    Milliseconds nextWatchTime(std::size_t fleet);
+
+    // Notes a change that this process has taken, by the store's revision of it.
+    void noteSeen(std::uint64_t revision);
+    std::uint64_t newest() const { return m_newest; }
+
+    // Whether to ask anew, since another gateway has long told of a newer change. That change
+    // then counts as seen: an answer to the new call brings it if there is one.
+    bool shouldAskAnew(std::uint64_t newestElsewhere, TimePoint now);
+
+private:
+    Random m_random;
+    std::uint64_t m_newest = 0;
+    TimePoint m_behindSince = TimePoint::max();
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -27,6 +27,9 @@
 constexpr Milliseconds changeSilence{400};
 constexpr Milliseconds deputyStep{600};
 constexpr std::uint32_t lastDeputy = 2;
+// Agents need no change of the store at once; their watches are as long as those of this many
+// gateways.
+constexpr std::size_t watchesAsInFleet = 10;
 constexpr Milliseconds linesInterval{100};
 // How long the engine on this machine may take to answer.
 constexpr Milliseconds engineTimeout{120};
@@ -82,6 +85,7 @@
     HttpClientPool m_agentClient;
     HttpClientPool m_storeClient;
     RankCoordinator m_coordinator;
+    StoreOutage m_storeOutage;
     StoreFollower m_configurationFollower;
     StoreFollower m_endpointFollower;
     HttpListener m_listener;
@@ -119,7 +123,8 @@
 
 StoreFollowerParts RankAgentProcess::followerParts()
 {
-    return {m_loop, m_storeClient, m_dialects.m_store, m_settings.m_store, m_lines, m_metrics};
+    return {m_loop, m_storeClient, m_dialects.m_store, m_settings.m_store, m_lines, m_metrics,
+            m_storeOutage};
 }
 
 bool RankAgentProcess::start(std::string &error)
@@ -134,6 +139,8 @@
     if (!m_listener.start(m_settings.m_agents, error))
         return false;
     m_lines.add("started", {{"endpoint", m_settings.m_endpoint.toString()}});
+    m_configurationFollower.setFleet(watchesAsInFleet);
+    m_endpointFollower.setFleet(watchesAsInFleet);
     look();
     writeLines();
     return true;
