Go on with the answers to orders while a group is held

Change: while the group is held and all orders of a round were carried out, the coordinator works out the next ones from their answers, without another round.

Tests: the simulation does the same; no step is split in any of its cases.

--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -96,6 +96,7 @@
     m_parts.m_loop.cancel(m_timer);
     m_asking.clear();
     m_ordering.clear();
+    m_awaitsOrders = false;
     m_plan.reset();
     m_ranks.clear();
     m_rankAccess.clear();
@@ -121,6 +122,7 @@
 
 void RankCoordinator::startRound()
 {
+    m_awaitsOrders = false;
     m_asking.clear();
     std::erase_if(m_ordering, [](const auto &call) { return call->isDone(); });
     if (!m_shape || m_access.empty()) {
@@ -325,8 +327,14 @@
         m_plan.reset();
         m_nextPlanAt = Clock::now() + planPause;
     }
+    m_awaitedOrders = 0;
+    m_hasFailedOrder = false;
+    m_awaitsOrders = canAwait(step);
     give(step.m_orders);
     m_isHolding = step.m_isHolding;
+    if (m_awaitsOrders && m_awaitedOrders > 0)
+        return; // The answer to the last order goes on.
+    m_awaitsOrders = false;
     if (step.m_isHolding)
         scheduleRound(holdPause);
     else if (m_plan)
@@ -337,6 +345,45 @@
         scheduleRound(isMakingSteps() ? busyPause : idlePause);
 }
 
+// While the group is held every message counts: the answers to orders tell what the ranks would
+// say in another round.
+bool RankCoordinator::canAwait(const RolloutStep &step)
+{
+    return step.m_isHolding && !step.m_orders.empty()
+           && std::all_of(step.m_orders.begin(), step.m_orders.end(), [](const RankOrder &order) {
+                  return order.m_type == RankOrderType::Hold || order.m_type == RankOrderType::Arm;
+              });
+}
+
+void RankCoordinator::orderAnswered(const RankOrder &order, int status)
+{
+    m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
+                                  {"type", toString(order.m_type)},
+                                  {"version", std::to_string(order.m_version)},
+                                  {"step", std::to_string(order.m_step)},
+                                  {"status", std::to_string(status)}});
+    if (order.m_type == RankOrderType::Prepare && status >= firstFailureStatus)
+        m_prepareAgainAt.erase(order.m_rank);
+    if (!m_awaitsOrders)
+        return;
+    const auto rank = m_ranks.find(order.m_rank);
+    const bool isDone = status >= statusOk && status < firstFailureStatus;
+    if (!isDone || rank == m_ranks.end())
+        m_hasFailedOrder = true;
+    else if (order.m_type == RankOrderType::Hold)
+        rank->second.m_view.m_held = order.m_step;
+    else
+        rank->second.m_view.m_armed = ArmedMap{order.m_version, order.m_step};
+    if (--m_awaitedOrders > 0)
+        return;
+    m_awaitsOrders = false;
+    // From the loop, since the calls are destroyed by the next round.
+    if (m_hasFailedOrder)
+        scheduleRound(Milliseconds(0));
+    else
+        m_parts.m_loop.post([this] { decide(); });
+}
+
 // A change isn't ended without rank 0 while the agent beside it still coordinates.
 bool RankCoordinator::hasFirstOrItIsSilent() const
 {
@@ -433,15 +480,9 @@
         isDirect ? m_parts.m_dialect.orderTarget() : rankOrderTarget,
         isDirect ? m_parts.m_dialect.writeOrder(order, map, message.m_ranks)
                  : writeRankOrder(message),
-        deadline, [this, order](AgentCall &call) {
-            if (order.m_type == RankOrderType::Prepare && call.status() >= firstFailureStatus)
-                m_prepareAgainAt.erase(order.m_rank);
-            m_parts.m_lines.add("order", {{"rank", std::to_string(order.m_rank)},
-                                          {"type", toString(order.m_type)},
-                                          {"version", std::to_string(order.m_version)},
-                                          {"step", std::to_string(order.m_step)},
-                                          {"status", std::to_string(call.status())}});
-        }));
+        deadline, [this, order](AgentCall &call) { orderAnswered(order, call.status()); }));
+    if (m_awaitsOrders)
+        ++m_awaitedOrders;
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -83,6 +83,8 @@
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
     void give(const RankOrderMessage &message, TimePoint deadline);
+    static bool canAwait(const RolloutStep &step);
+    void orderAnswered(const RankOrder &order, int status);
     bool hasFirstOrItIsSilent() const;
     bool isDirect(const RankOrder &order) const;
     bool isSilent(std::uint32_t rank) const;
@@ -109,6 +111,9 @@
     TimerId m_timer = 0;
     TimePoint m_nextPlanAt;
     bool m_isHolding = false; // The last round's orders hold the group or let it go.
+    bool m_awaitsOrders = false; // The next orders follow from the answers to the last ones.
+    std::size_t m_awaitedOrders = 0;
+    bool m_hasFailedOrder = false;
     std::uint64_t m_lastStep = 0;
 };
 
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -1,6 +1,7 @@
 #include "groupsimulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockhead::test {
 
@@ -18,6 +19,20 @@
 constexpr std::size_t silenceTime = 12;
 constexpr std::size_t longHold = 120;
 
+// Changes the rank's view as the answer to an order to hold or arm tells; false for other orders.
+bool noteDone(const RankOrder &order, std::vector<RankView> &views)
+{
+    for (RankView &view : views) {
+        if (view.m_rank != order.m_rank)
+            continue;
+        if (order.m_type == RankOrderType::Hold)
+            view.m_held = order.m_step;
+        if (order.m_type == RankOrderType::Arm)
+            view.m_armed = ArmedMap{order.m_version, order.m_step};
+    }
+    return order.m_type == RankOrderType::Hold || order.m_type == RankOrderType::Arm;
+}
+
 } // namespace
 
 GroupSimulation::GroupSimulation(std::size_t ranks, const GroupFaults &faults, std::uint64_t seed)
@@ -72,33 +87,34 @@
         beginStep();
 }
 
-void GroupSimulation::carryOut(const Pending &pending)
+// True when the order was carried out, as the answer to it says.
+bool GroupSimulation::carryOut(const Pending &pending)
 {
     const RankOrder &order = pending.m_order;
     Rank &rank = m_ranks.at(order.m_rank);
     // What reaches a frozen VM is read when it wakes.
     if (order.m_rank == 0 && isFrozen()) {
         m_late.emplace(m_frozenUntil, pending);
-        return;
+        return false;
     }
     switch (order.m_type) {
     case RankOrderType::Prepare:
         if (order.m_version <= rank.m_highestVersion || rank.m_armed)
-            return;
+            return false;
         rank.m_highestVersion = order.m_version;
         rank.m_prepared.reset();
         rank.m_loading = Map{order.m_version, pending.m_content};
         rank.m_loadedAt = m_now + m_random() % longestLoading;
-        return;
+        return true;
     case RankOrderType::Arm:
         if (rank.m_prepared && rank.m_prepared->m_version == order.m_version
             && order.m_step > m_step)
             rank.m_armed = ArmedMap{order.m_version, order.m_step};
-        return;
+        return rank.m_armed == ArmedMap{order.m_version, order.m_step};
     case RankOrderType::Disarm:
         if (rank.m_armed && rank.m_armed->m_version == order.m_version)
             rank.m_armed.reset();
-        return;
+        return true;
     case RankOrderType::Hold:
         if (order.m_rank + 1 == m_ranks.size() && order.m_step > m_step && !m_held)
             m_held = order.m_step;
@@ -107,28 +123,31 @@
             m_frozenAt = m_now + m_random() % silenceTime;
             m_frozenUntil = m_frozenAt + freezeTime;
         }
-        return;
+        return m_held == order.m_step;
     case RankOrderType::Go:
         if (order.m_rank + 1 == m_ranks.size() && m_held == order.m_step)
             m_held.reset();
-        return;
+        return true;
     }
+    return false;
 }
 
-void GroupSimulation::give(const RankOrder &order, std::uint64_t content)
+bool GroupSimulation::give(const RankOrder &order, std::uint64_t content)
 {
     const Pending pending = {order, content};
     const double fate = chance();
     if (fate < m_faults.m_dropped)
-        return;
+        return false;
     if (fate < m_faults.m_dropped + m_faults.m_late) {
         m_late.emplace(m_now + shortestDelay + m_random() % longestDelay, pending);
-        return;
+        return false;
     }
-    carryOut(pending);
+    const bool isDone = carryOut(pending);
     // An order whose answer is lost may be given twice by the network as well.
-    if (chance() < m_faults.m_answerLost)
-        m_late.emplace(m_now + shortestDelay + m_random() % longestDelay, pending);
+    if (chance() >= m_faults.m_answerLost)
+        return isDone;
+    m_late.emplace(m_now + shortestDelay + m_random() % longestDelay, pending);
+    return false;
 }
 
 std::vector<RankView> GroupSimulation::views() const
@@ -170,7 +189,9 @@
         return;
     Coordinator &coordinator = nextCoordinator();
     const bool isPaused = !coordinator.m_oldViews.empty() && chance() < m_faults.m_paused;
-    const std::vector<RankView> now = isPaused ? coordinator.m_oldViews : views();
+    std::vector<RankView> now = isPaused ? coordinator.m_oldViews : views();
+    if (!coordinator.m_answeredViews.empty())
+        now = std::exchange(coordinator.m_answeredViews, {});
     if (!isPaused || m_random() % 4 == 0)
         coordinator.m_oldViews = views();
     if (!coordinator.m_planned) {
@@ -184,21 +205,25 @@
         coordinator.m_planned.reset();
         return;
     }
+    bool isAnswered = step.m_isHolding && !step.m_orders.empty();
     for (const RankOrder &order : step.m_orders) {
-        give(order, coordinator.m_content);
+        const bool isDone = give(order, coordinator.m_content);
+        isAnswered &= isDone && noteDone(order, now);
         if (m_random() % 2 == 0)
             tick();
     }
+    if (isAnswered)
+        coordinator.m_answeredViews = now;
 }
 
 void GroupSimulation::run(std::size_t rounds, const std::function<NextOrders()> &makeCoordinator)
 {
     m_coordinators.resize(m_faults.m_coordinators);
     for (Coordinator &coordinator : m_coordinators)
-        coordinator = {makeCoordinator(), {}, 0, {}};
+        coordinator = {makeCoordinator(), {}, 0, {}, {}};
     for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
         if (chance() < m_faults.m_restart)
-            m_coordinators[m_random() % m_coordinators.size()] = {makeCoordinator(), {}, 0, {}};
+            m_coordinators[m_random() % m_coordinators.size()] = {makeCoordinator(), {}, 0, {}, {}};
         round();
         for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
             tick();
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -75,6 +75,8 @@
         std::optional<std::uint64_t> m_planned;
         std::uint64_t m_content = 0;
         std::vector<RankView> m_oldViews;
+        // The last round's with the answers to its orders, when all of them were carried out.
+        std::vector<RankView> m_answeredViews;
     };
 
     struct Pending
@@ -86,8 +88,8 @@
     double chance();
     void tick();
     void beginStep();
-    void carryOut(const Pending &pending);
-    void give(const RankOrder &order, std::uint64_t content);
+    bool carryOut(const Pending &pending);
+    bool give(const RankOrder &order, std::uint64_t content);
     std::vector<RankView> views() const;
     bool isFrozen() const { return m_frozenAt <= m_now && m_now < m_frozenUntil; }
     Coordinator &nextCoordinator();
