Give no orders from views of ranks that are old

Change: the age of the views is part of the decision; beyond 250 ms, suspension of the VM included, no orders follow from them.

--- a/src/burdockhead/observe/wallclock.cpp
+++ b/src/burdockhead/observe/wallclock.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+std::uint64_t bootMilliseconds()
+{
+    constexpr std::uint64_t inSecond = 1000;
+    constexpr std::uint64_t nanoseconds = 1000000;
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return static_cast<std::uint64_t>(now.tv_sec) * inSecond
+           + static_cast<std::uint64_t>(now.tv_nsec) / nanoseconds;
+}
+
 std::uint64_t wallMilliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/burdockhead/observe/wallclock.h
+++ b/src/burdockhead/observe/wallclock.h
@@ -11,6 +11,10 @@
 // the steady clock.
 std::uint64_t wallMilliseconds();
 
+// Milliseconds since the VM's start, with those in which it was suspended, which the steady clock
+// leaves out. Tells how old something is that was heard before.
+std::uint64_t bootMilliseconds();
+
 // Milliseconds since 1970 as "2026-12-03T22:10:05.123" in UTC.
 std::string wallTimeText(std::uint64_t milliseconds);
 
--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -9,6 +9,8 @@
 // How many steps ahead the group is held: orders reach all ranks in less than a step, so the
 // group seldom waits.
 constexpr std::uint64_t holdLead = 2;
+// The oldest views that orders may follow from: a round over a large group takes some 100 ms.
+constexpr Milliseconds oldestViews{250};
 
 // True when all ranks from that one on are known, in one open group and one epoch, with one map.
 bool isWholeFrom(std::uint32_t firstRank, const std::vector<RankView> &views)
@@ -231,8 +233,10 @@
 }
 
 RolloutStep MapRollout::next(const std::vector<RankView> &views,
-                             std::optional<std::uint64_t> planned)
+                             std::optional<std::uint64_t> planned, Milliseconds age)
 {
+    if (age > oldestViews)
+        return {};
     const bool isWhole = isWholeFrom(0, views);
     if (!isWhole && !isWholeFrom(1, views))
         return {};
--- a/src/burdockhead/rankagent/maprollout.h
+++ b/src/burdockhead/rankagent/maprollout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdockhead/base/timepoint.h>
 #include <burdockhead/rankagent/rankorder.h>
 #include <burdockhead/rankagent/rankview.h>
 
@@ -36,8 +37,10 @@
 {
 public:
     // The next orders, from the views of all ranks, or of all but rank 0, in the order of their
-    // ranks, and the version that is planned; none without a plan.
-    RolloutStep next(const std::vector<RankView> &views, std::optional<std::uint64_t> planned);
+    // ranks, and the version that is planned; none without a plan. Views of that age that are too
+    // old give no orders: this process may have stood still while another one changed the maps.
+    RolloutStep next(const std::vector<RankView> &views, std::optional<std::uint64_t> planned,
+                     Milliseconds age);
 
     // A version higher than all that the ranks tell of.
     static std::uint64_t nextVersion(const std::vector<RankView> &views);
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -133,6 +133,7 @@
     m_isFullRound = m_plan || m_isHolding || m_rankAccess.empty() || now >= m_nextFullRoundAt;
     const std::vector<RankAccess> counted = countedRanks();
     if (m_isFullRound) {
+        m_viewsFrom = bootMilliseconds();
         m_nextFullRoundAt = now + fullRoundInterval;
         m_ranks.clear();
         m_rankAccess.clear();
@@ -313,7 +314,8 @@
     if (!m_plan && Clock::now() >= m_nextPlanAt)
         makePlan(now, false);
     const auto version = m_plan ? std::optional(m_plan->m_map.m_version) : std::nullopt;
-    RolloutStep step = hasFirstOrItIsSilent() ? m_rollout.next(now, version) : RolloutStep();
+    const auto age = Milliseconds(static_cast<std::int64_t>(bootMilliseconds() - m_viewsFrom));
+    RolloutStep step = hasFirstOrItIsSilent() ? m_rollout.next(now, version, age) : RolloutStep();
     if (step.m_needsPlan) {
         makePlan(now, true);
         scheduleRound(holdPause);
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -102,6 +102,7 @@
     std::optional<Plan> m_plan;
     std::map<std::uint32_t, RankStatus> m_ranks;      // Of the last full round.
     std::map<std::uint32_t, RankAccess> m_rankAccess; // Of the last full round.
+    std::uint64_t m_viewsFrom = 0; // When the last full round began, as bootMilliseconds().
     bool m_isFullRound = true; // All ranks are asked, not only those whose counts are read.
     TimePoint m_nextFullRoundAt;
     std::vector<std::unique_ptr<AgentCall>> m_asking;
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+// A moment, as a part of a step of some 40 ms, which one or two of them make.
+constexpr Milliseconds moment{25};
 // Moments of the simulation between two rounds, each of which may begin a step.
 constexpr std::size_t ticksPerRound = 2;
 // When a late order is carried out, in moments: within, and long after, a whole change.
@@ -190,16 +192,22 @@
     Coordinator &coordinator = nextCoordinator();
     const bool isPaused = !coordinator.m_oldViews.empty() && chance() < m_faults.m_paused;
     std::vector<RankView> now = isPaused ? coordinator.m_oldViews : views();
-    if (!coordinator.m_answeredViews.empty())
+    std::size_t from = isPaused ? coordinator.m_oldViewsFrom : m_now;
+    if (!coordinator.m_answeredViews.empty()) {
         now = std::exchange(coordinator.m_answeredViews, {});
-    if (!isPaused || m_random() % 4 == 0)
+        from = coordinator.m_answeredViewsFrom;
+    }
+    if (!isPaused || m_random() % 4 == 0) {
         coordinator.m_oldViews = views();
+        coordinator.m_oldViewsFrom = m_now;
+    }
     if (!coordinator.m_planned) {
         m_versions = std::max(m_versions, MapRollout::nextVersion(now)) + 1;
         coordinator.m_planned = m_versions;
         coordinator.m_content = ++m_content;
     }
-    const RolloutStep step = coordinator.m_next(now, coordinator.m_planned);
+    const Milliseconds age = moment * static_cast<int>(m_now - from);
+    const RolloutStep step = coordinator.m_next(now, coordinator.m_planned, age);
     if (step.m_needsPlan || step.m_isDone) {
         m_mapChanges += step.m_isDone ? 1 : 0;
         coordinator.m_planned.reset();
@@ -212,18 +220,21 @@
         if (m_random() % 2 == 0)
             tick();
     }
-    if (isAnswered)
+    if (isAnswered) {
         coordinator.m_answeredViews = now;
+        coordinator.m_answeredViewsFrom = from;
+    }
 }
 
 void GroupSimulation::run(std::size_t rounds, const std::function<NextOrders()> &makeCoordinator)
 {
     m_coordinators.resize(m_faults.m_coordinators);
     for (Coordinator &coordinator : m_coordinators)
-        coordinator = {makeCoordinator(), {}, 0, {}, {}};
+        coordinator = {makeCoordinator(), {}, 0, {}, 0, {}, 0};
     for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
         if (chance() < m_faults.m_restart)
-            m_coordinators[m_random() % m_coordinators.size()] = {makeCoordinator(), {}, 0, {}, {}};
+            m_coordinators[m_random() % m_coordinators.size()] = {
+                makeCoordinator(), {}, 0, {}, 0, {}, 0};
         round();
         for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
             tick();
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -25,8 +25,8 @@
 };
 
 // Gives the next orders; planned is the version that the coordinator wants.
-using NextOrders =
-    std::function<RolloutStep(const std::vector<RankView> &, std::optional<std::uint64_t> planned)>;
+using NextOrders = std::function<RolloutStep(
+    const std::vector<RankView> &, std::optional<std::uint64_t> planned, Milliseconds age)>;
 
 // A group of ranks in lock-step that carries out orders as engines do, with faults, and notes
 // whether a step was ever begun while two ranks had different maps.
@@ -75,8 +75,10 @@
         std::optional<std::uint64_t> m_planned;
         std::uint64_t m_content = 0;
         std::vector<RankView> m_oldViews;
+        std::size_t m_oldViewsFrom = 0;
         // The last round's with the answers to its orders, when all of them were carried out.
         std::vector<RankView> m_answeredViews;
+        std::size_t m_answeredViewsFrom = 0;
     };
 
     struct Pending
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -16,14 +16,17 @@
 NextOrders makeRollout()
 {
     const auto rollout = std::make_shared<MapRollout>();
-    return [rollout](const auto &views, auto planned) { return rollout->next(views, planned); };
+    return [rollout](const auto &views, auto planned, auto age) {
+        return rollout->next(views, planned, age);
+    };
 }
 
 // Arms all ranks for a step that is a little ahead, without a hold.
 NextOrders makeWithoutHold()
 {
-    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
-        RolloutStep step = MapRollout().next(views, planned);
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned,
+              Milliseconds age) {
+        RolloutStep step = MapRollout().next(views, planned, age);
         std::vector<RankOrder> orders;
         for (const RankOrder &order : step.m_orders) {
             if (order.m_type == RankOrderType::Prepare)
@@ -42,11 +45,12 @@
 // Gives up a change whose ranks aren't all armed at the second look, and lets the group go.
 NextOrders makeImpatient()
 {
-    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
-        RolloutStep step = MapRollout().next(views, planned);
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned,
+              Milliseconds age) {
+        RolloutStep step = MapRollout().next(views, planned, age);
         const auto held = views.back().m_held;
-        const bool arms = !step.m_orders.empty() && held
-                          && step.m_orders.front().m_type == RankOrderType::Arm;
+        const bool arms =
+            !step.m_orders.empty() && held && step.m_orders.front().m_type == RankOrderType::Arm;
         // At the first look all ranks but rank 0 are told to arm.
         if (arms && step.m_orders.size() < views.size() - 1) {
             step.m_orders.clear();
@@ -65,14 +69,15 @@
 // Lets the group go without rank 0 although the others may all be armed.
 NextOrders makeCareless()
 {
-    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
+    return [](const std::vector<RankView> &views, std::optional<std::uint64_t> planned,
+              Milliseconds age) {
         if (views.size() == ranks || !views.back().m_held)
-            return MapRollout().next(views, planned);
+            return MapRollout().next(views, planned, age);
         RolloutStep step;
         for (const RankView &view : views) {
             if (view.m_armed)
-                step.m_orders.push_back({view.m_rank, RankOrderType::Disarm, view.m_epoch,
-                                         view.m_armed->m_version, 0});
+                step.m_orders.push_back(
+                    {view.m_rank, RankOrderType::Disarm, view.m_epoch, view.m_armed->m_version, 0});
         }
         if (step.m_orders.empty())
             step.m_orders.push_back({views.back().m_rank, RankOrderType::Go, views.back().m_epoch,
@@ -85,8 +90,9 @@
 NextOrders makeWaiting()
 {
     const auto rollout = std::make_shared<MapRollout>();
-    return [rollout](const std::vector<RankView> &views, std::optional<std::uint64_t> planned) {
-        return views.size() == ranks ? rollout->next(views, planned) : RolloutStep();
+    return [rollout](const std::vector<RankView> &views, std::optional<std::uint64_t> planned,
+                     Milliseconds age) {
+        return views.size() == ranks ? rollout->next(views, planned, age) : RolloutStep();
     };
 }
 
@@ -187,7 +193,8 @@
     BOOST_TEST(splits(lateOrders, makeImpatient) > 0U);
 }
 
-BOOST_AUTO_TEST_CASE(nothing_is_ordered_while_a_rank_is_unknown_or_the_group_is_broken)
+BOOST_AUTO_TEST_CASE(
+    nothing_is_ordered_by_old_views_or_while_a_rank_is_unknown_or_the_group_is_broken)
 {
     GroupSimulation group(ranks, noFaults, 1);
     std::vector<RankView> views(ranks);
@@ -196,16 +203,18 @@
         views[rank].m_ranks = ranks;
         views[rank].m_isOpen = true;
     }
-    BOOST_TEST(!MapRollout().next(views, 1).m_orders.empty());
+    constexpr Milliseconds fresh{10};
+    BOOST_TEST(!MapRollout().next(views, 1, fresh).m_orders.empty());
+    BOOST_TEST(MapRollout().next(views, 1, Seconds(1)).m_orders.empty());
     auto broken = views;
     broken[3].m_isOpen = false;
-    BOOST_TEST(MapRollout().next(broken, 1).m_orders.empty());
+    BOOST_TEST(MapRollout().next(broken, 1, fresh).m_orders.empty());
     auto reformed = views;
     reformed[2].m_epoch = 7;
-    BOOST_TEST(MapRollout().next(reformed, 1).m_orders.empty());
+    BOOST_TEST(MapRollout().next(reformed, 1, fresh).m_orders.empty());
     auto unknown = views;
     unknown.pop_back();
-    BOOST_TEST(MapRollout().next(unknown, 1).m_orders.empty());
+    BOOST_TEST(MapRollout().next(unknown, 1, fresh).m_orders.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
