--- a/src/burdockhead/expertmap/layerbalancer.h
+++ b/src/burdockhead/expertmap/layerbalancer.h
@@ -60,7 +60,7 @@
     const LayerLoads &m_loads;
     LayerPlacement m_placement;
     std::vector<std::vector<std::uint16_t>> m_held; // Experts, by rank.
-    std::vector<double> m_rankLoads; // As time; slow ranks take more.
+    std::vector<double> m_rankLoads;                // As time; slow ranks take more.
     std::optional<Candidate> m_best;
     std::vector<std::pair<std::uint16_t, double>> m_deltas; // Scratch: by rank.
 };
