Divide the engines among the gateways

Cause: 44 gateways choose among the same engines, each by its own requests alone. While a data centre is out, 300 streams a second meet 48 engines with ten places each; by chance some are full and let streams wait while others have room.

Change: each gateway first uses a window of the ring of engines, so that eight gateways share one; beyond its part of their places it takes the least loaded of all.

--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -189,10 +189,12 @@
     const TimePoint now = Clock::now();
     const GatewayParts &parts = m_router.parts();
     const std::size_t arrivalLimit = m_router.arrivalLimit(m_service);
-    KnownEndpointPointer endpoint =
-        parts.m_endpoints.choose({m_service, arrivalLimit, m_tried}, now);
-    if (!endpoint && m_tried.size() >= parts.m_endpoints.usableCount(m_service, now))
-        endpoint = parts.m_endpoints.choose({m_service, arrivalLimit, {}}, now);
+    EndpointRequest choice = {m_service, arrivalLimit, m_tried, m_router.place(m_service)};
+    KnownEndpointPointer endpoint = parts.m_endpoints.choose(choice, now);
+    if (!endpoint && m_tried.size() >= parts.m_endpoints.usableCount(m_service, now)) {
+        choice.m_tried.clear();
+        endpoint = parts.m_endpoints.choose(choice, now);
+    }
     if (!endpoint)
         return false;
     if (m_isWaiting)
--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -87,8 +87,19 @@
     return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
+// Engines are divided among the gateways; plain services have few endpoints and short requests.
+std::optional<FleetPlace> CallRouter::place(const GroupName &service) const
+{
+    const GatewayService *declared =
+        m_configuration ? m_configuration->findService(service) : nullptr;
+    if (declared == nullptr || declared->m_batch == 0)
+        return std::nullopt;
+    return m_place;
+}
+
 void CallRouter::refresh()
 {
+    m_place = m_parts.m_peers.ownPlace(Clock::now());
     for (auto &[service, gate] : m_gates) {
         sizeWindow(service, gate);
         letWaitingGo(service);
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -60,6 +60,7 @@
     const GatewayParts &parts() const { return m_parts; }
     ServiceGate &gate(const GroupName &service);
     std::size_t arrivalLimit(const GroupName &service) const;
+    std::optional<FleetPlace> place(const GroupName &service) const;
     void wait(const GroupName &service, const Waiter &waiter);
     void letWaitingGo(const GroupName &service);
     void forget(WaiterId id);
@@ -75,6 +76,7 @@
     std::map<GroupName, ServiceGate> m_gates;
     std::map<GroupName, TimerId> m_wakeUps;
     std::unordered_map<WaiterId, std::shared_ptr<CallFlow>> m_flows;
+    FleetPlace m_place; // As of the last refresh.
     WaiterId m_lastFlow = 0;
     bool m_refusesNew = false;
 };
--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -10,10 +10,31 @@
 // is taken only when the others are about full.
 constexpr double failureHandicap = 12;
 
+// Gateways that first use one endpoint. Each sees an eighth of its requests then, and one that
+// fails leaves the others.
+constexpr std::size_t gatewaysOnEndpoint = 8;
+// Fewer endpoints than this are not divided.
+constexpr std::size_t leastDivided = 8;
+// A gateway uses its own endpoints up to this many times its part of their slots.
+constexpr unsigned fullPart = 1;
+
+// The endpoints that the gateway of that place first uses: a window of the ring of all.
+std::vector<KnownEndpointPointer> ownPart(const std::vector<KnownEndpointPointer> &all,
+                                          const FleetPlace &place)
+{
+    const std::size_t size = std::max<std::size_t>(place.m_size, 1);
+    const std::size_t first = place.m_index * all.size() / size;
+    const std::size_t count =
+        std::min(all.size(), (gatewaysOnEndpoint * all.size() + size - 1) / size);
+    std::vector<KnownEndpointPointer> part;
+    for (std::size_t index = 0; index < count; ++index)
+        part.push_back(all[(first + index) % all.size()]);
+    return part;
+}
+
 double score(const KnownEndpoint &endpoint)
 {
-    const double load = endpoint.m_inFlight + endpoint.m_inFlightElsewhere
-                        + failureHandicap * endpoint.m_breaker.failureShare();
+    const double load = endpoint.m_inFlight + failureHandicap * endpoint.m_breaker.failureShare();
     return load / std::max(1U, endpoint.m_entry.m_slots);
 }
 
@@ -102,18 +123,46 @@
            && !m_out.contains(endpoint.m_entry.m_dataCentre);
 }
 
+// The endpoints that may get requests, in the order of their names.
+std::vector<KnownEndpointPointer> EndpointTable::usable(const GroupName &service,
+                                                        TimePoint now) const
+{
+    std::vector<KnownEndpointPointer> usable;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return usable;
+    for (const auto &endpoint : found->second) {
+        if (isUsable(*endpoint, now))
+            usable.push_back(endpoint);
+    }
+    std::sort(usable.begin(), usable.end(), [](const auto &left, const auto &right) {
+        return left->m_entry.m_name < right->m_entry.m_name;
+    });
+    return usable;
+}
+
 KnownEndpointPointer EndpointTable::choose(const EndpointRequest &request, TimePoint now)
 {
-    const auto found = m_byService.find(request.m_service);
-    if (found == m_byService.end() || found->second.empty())
-        return nullptr;
-    const auto &candidates = found->second;
+    const std::vector<KnownEndpointPointer> all = usable(request.m_service, now);
+    if (request.m_place && all.size() > leastDivided) {
+        const KnownEndpointPointer chosen = best(ownPart(all, *request.m_place), request, now);
+        if (chosen && chosen->m_inFlight * gatewaysOnEndpoint <= fullPart * chosen->m_entry.m_slots)
+            return chosen;
+    }
+    return best(all, request, now);
+}
+
+KnownEndpointPointer EndpointTable::best(const std::vector<KnownEndpointPointer> &candidates,
+                                         const EndpointRequest &request, TimePoint now)
+{
+    KnownEndpointPointer best;
+    if (candidates.empty())
+        return best;
     // Equal ones are taken from a random place on, so that gateways don't agree on one.
     const std::size_t offset = m_random() % candidates.size();
-    KnownEndpointPointer best;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto &candidate = candidates[(index + offset) % candidates.size()];
-        if (!isUsable(*candidate, now) || !candidate->m_breaker.allows(now))
+        if (!candidate->m_breaker.allows(now))
             continue;
         if (std::find(request.m_tried.begin(), request.m_tried.end(), candidate->m_entry.m_name)
             != request.m_tried.end())
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -4,9 +4,11 @@
 #include <burdockhead/gateway/arrivalwindow.h>
 #include <burdockhead/gateway/endpointbreaker.h>
 #include <burdockhead/gateway/endpointentry.h>
+#include <burdockhead/gateway/peertable.h>
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -20,7 +22,6 @@
     EndpointBreaker m_breaker;
     ArrivalWindow m_lastSecond{Milliseconds(1000)};
     unsigned m_inFlight = 0;
-    unsigned m_inFlightElsewhere = 0;           // As other gateways last told.
     TimePoint m_lastAnswerAt;                   // When bytes of an answer last came from it.
     TimePoint m_usableUntil = TimePoint::max(); // An entry that is gone may be on its way back.
     bool m_isReplaced = false;                  // A later one has started at its address.
@@ -34,11 +35,19 @@
     GroupName m_service;
     std::size_t m_arrivalLimit = 0; // Requests that each endpoint may get in a second; 0: any.
     std::vector<EndpointName> m_tried;
+    // This gateway's place in the fleet, for a service whose endpoints are divided among gateways;
+    // none when each gateway uses all alike.
+    std::optional<FleetPlace> m_place = {};
 };
 
 // Every endpoint that service discovery has told of, and the choice among them: the fewest
 // requests in flight for its slots, with a handicap for failures. Answers the load pattern of
 // ranks in lock-step, where the fullest one sets the pace of all.
+//
+// A gateway sees only its own requests. Where many gateways share many endpoints, each one first
+// uses a few that it shares with a few others, so that what it sees of their load is a large part
+// of it, and its connections to them are kept busy. Answers the load pattern of a large fleet
+// whose endpoints are half full: by chance some would be full and let requests wait.
 class EndpointTable
 {
 public:
@@ -76,6 +85,9 @@
 
 private:
     bool isUsable(const KnownEndpoint &endpoint, TimePoint now) const;
+    std::vector<KnownEndpointPointer> usable(const GroupName &service, TimePoint now) const;
+    KnownEndpointPointer best(const std::vector<KnownEndpointPointer> &candidates,
+                              const EndpointRequest &request, TimePoint now);
     void noteReplaced(const KnownEndpointPointer &endpoint);
 
     std::map<EndpointName, KnownEndpointPointer> m_endpoints;
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -105,6 +105,18 @@
     return addresses;
 }
 
+FleetPlace PeerTable::ownPlace(TimePoint now) const
+{
+    FleetPlace place;
+    for (const auto &[name, peer] : m_peers) {
+        if (!lives(peer, now) || peer.m_record.m_state != PeerState::Ready)
+            continue;
+        ++place.m_size;
+        place.m_index += name < m_own.m_name ? 1 : 0;
+    }
+    return place;
+}
+
 StoreRevisions PeerTable::newestChanges(TimePoint now) const
 {
     StoreRevisions newest = m_own.m_newestChanges;
--- a/src/burdockhead/gateway/peertable.h
+++ b/src/burdockhead/gateway/peertable.h
@@ -33,6 +33,15 @@
     friend bool operator==(const PeerRecord &, const PeerRecord &) = default;
 };
 
+// The place of a gateway among those that take requests, in the order of their names.
+struct FleetPlace
+{
+    std::size_t m_index = 0;
+    std::size_t m_size = 1;
+
+    friend bool operator==(const FleetPlace &, const FleetPlace &) = default;
+};
+
 // The other gateways, by gossip: each beat goes to a few of them with what is known of all. A
 // gateway whose beat stands still is taken for dead.
 class PeerTable
@@ -58,6 +67,8 @@
     // Where clients may connect: every gateway that lives and is ready.
     std::vector<SocketAddress> readyClients(TimePoint now) const;
 
+    FleetPlace ownPlace(TimePoint now) const;
+
     // The newest changes of the store that any gateway which lives has taken.
     StoreRevisions newestChanges(TimePoint now) const;
 
--- a/tests/internal/gateway/test_endpointtable.cpp
+++ b/tests/internal/gateway/test_endpointtable.cpp
@@ -3,6 +3,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
 
 using namespace burdockhead;
 
@@ -32,6 +36,67 @@
     return table;
 }
 
+// A fleet before the engines of a group of which a data centre is out: streams arrive at random
+// gateways at random times and last about a second. Counts those that find their engine's batch
+// full although others have room, and so wait there.
+class FleetReplay
+{
+public:
+    explicit FleetReplay(bool isDivided)
+        : m_isDivided(isDivided)
+    {
+        for (std::size_t gateway = 0; gateway < gateways; ++gateway)
+            m_tables.push_back(tableOf(engines, gateway + 1));
+    }
+
+    // The part of the streams that wait.
+    double run()
+    {
+        constexpr std::size_t streams = 20000;
+        constexpr double betweenArrivals = 1.0 / 300;
+        std::exponential_distribution<double> pause(1 / betweenArrivals);
+        std::uniform_real_distribution<double> length(0.5, 1.5);
+        std::size_t waited = 0;
+        double now = 0;
+        for (std::size_t stream = 0; stream < streams; ++stream) {
+            now += pause(m_random);
+            for (; !m_ends.empty() && m_ends.begin()->first <= now; m_ends.erase(m_ends.begin()))
+                m_ends.begin()->second();
+            waited += begin(m_random() % gateways, now, now + length(m_random)) ? 1 : 0;
+        }
+        return static_cast<double>(waited) / streams;
+    }
+
+private:
+    static constexpr std::size_t gateways = 44;
+    static constexpr int engines = 48;
+    static constexpr int batch = 10;
+
+    bool begin(std::size_t gateway, double now, double end)
+    {
+        EndpointTable &table = m_tables[gateway];
+        EndpointRequest request = {service, 1, {}, {}};
+        if (m_isDivided)
+            request.m_place = FleetPlace{gateway, gateways};
+        const TimePoint at =
+            start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(now));
+        const auto endpoint = table.choose(request, at);
+        table.noteSent(*endpoint, at);
+        int &running = m_running[endpoint->m_entry.m_name];
+        m_ends.emplace(end, [&table, &running, endpoint] {
+            table.noteEnded(*endpoint);
+            --running;
+        });
+        return ++running > batch;
+    }
+
+    bool m_isDivided;
+    Random m_random{3};
+    std::vector<EndpointTable> m_tables;
+    std::map<EndpointName, int> m_running;
+    std::multimap<double, std::function<void()>> m_ends;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Endpoints)
@@ -77,6 +142,14 @@
     BOOST_TEST(other.choose({service, 0, {}}, start)->m_entry.m_name.text() == "e2");
 }
 
+// The load pattern of a large fleet before engines that are two thirds full.
+BOOST_AUTO_TEST_CASE(gateways_that_divide_the_engines_let_few_streams_wait_at_full_ones)
+{
+    const double ours = FleetReplay(true).run();
+    const double naive = FleetReplay(false).run();
+    BOOST_TEST(ours * 3 < naive, ours << " of the streams wait, undivided " << naive);
+}
+
 BOOST_AUTO_TEST_CASE(what_leaves_is_out_of_service_or_was_tried_is_not_chosen)
 {
     EndpointTable table = tableOf(2);
