--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -30,6 +30,10 @@
 constexpr Milliseconds silencePause{1000};
 // Maps that are remembered by their version: the one in use, and those on their way.
 constexpr std::size_t knownMaps = 4;
+// Between a hold and the orders to arm. The group seldom waits in this time, as it is held two
+// steps ahead, and a VM that freezes with its order to hold has armed nothing yet, so that a
+// deputy can end the hold.
+constexpr Milliseconds settleTime{30};
 // All ranks are asked at least as often, which shows a hold that was left behind.
 constexpr Milliseconds fullRoundInterval{700};
 // The time in which a change should be loaded, against some seconds between two shifts, and
@@ -382,11 +386,17 @@
     if (--m_awaitedOrders > 0)
         return;
     m_awaitsOrders = false;
-    // From the loop, since the calls are destroyed by the next round.
-    if (m_hasFailedOrder)
+    if (m_hasFailedOrder) {
         scheduleRound(Milliseconds(0));
-    else
-        m_parts.m_loop.post([this] { decide(); });
+        return;
+    }
+    // From the loop, since the calls are destroyed by the next round.
+    m_parts.m_loop.cancel(m_timer);
+    const bool isHold = order.m_type == RankOrderType::Hold;
+    m_timer = m_parts.m_loop.callAt(Clock::now() + (isHold ? settleTime : Milliseconds(0)), [this] {
+        m_timer = 0;
+        decide();
+    });
 }
 
 // A change isn't ended without rank 0 while the agent beside it still coordinates.
