Tell waiting clients to come back before they leave, and later in an outage

Cause: a client leaves a stream that brings nothing for two seconds and asks no more. Others were told to come back after half a second, in outages of two to five.

Change: a stream that waits is refused a quarter of a second earlier at the latest; while a service refuses everything the time to come back is 2.5 s, at most a third of the client's time left.

Tests: sixteen streams before endpoints that refuse are all told in time (failed before); the gate's time to come back in an outage.

--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -20,11 +20,16 @@
 constexpr Milliseconds maxIdleRepeatable{4000};
 // Bytes of an answer that is kept until it is whole.
 constexpr std::size_t maxAnswerBytes = 16777216;
+// The least time that is left for a stream's first event, way to the client included. A client
+// whose patience ends asks no more, one that is refused before comes back.
+constexpr Milliseconds leastFirstByte{250};
 // When a client should come back if nothing better is known: about the time in which a
 // gateway takes up a configuration, or a group of ranks opens again.
 constexpr Milliseconds usualComeBack{500};
 constexpr Milliseconds shortestComeBack{100};
 constexpr Milliseconds longestComeBack{2500};
+// The part of their time left for which clients wait at the most before they come back.
+constexpr int longestWaitPart = 3;
 constexpr int firstFailureStatus = 500;
 // Another endpoint has the address, and how long it isn't tried again: the time in which
 // service discovery learns of it.
@@ -149,8 +154,9 @@
     if (m_route.m_patience.count() == 0)
         return m_giveUpAt;
     const TimePoint lastEvent = m_lastEventAt == TimePoint() ? m_arrivedAt : m_lastEventAt;
-    return std::min(m_giveUpAt,
-                    lastEvent + m_route.m_patience - m_router.gate(m_service).usualFirstByte());
+    const Duration firstByte =
+        std::max<Duration>(m_router.gate(m_service).usualFirstByte(), leastFirstByte);
+    return std::min(m_giveUpAt, lastEvent + m_route.m_patience - firstByte);
 }
 
 // Sends the request, or lets it wait if that can still lead to an answer.
@@ -479,12 +485,11 @@
 // When there should be room: after those that wait now.
 Milliseconds CallFlow::comeBackTime() const
 {
-    ServiceGate &gate = m_router.gate(m_service);
-    const Milliseconds wait = inMilliseconds(gate.expectedWait(gate.line().size()));
-    const Milliseconds base =
-        std::clamp(std::max(wait, usualComeBack), shortestComeBack, longestComeBack);
+    const Milliseconds base = m_router.gate(m_service).comeBackAfter();
     // Spread over half of the time, so that those refused together don't return together.
-    return base + base * static_cast<int>(m_router.random()() % 100) / 200;
+    const Milliseconds spread = base + base * static_cast<int>(m_router.random()() % 100) / 200;
+    // Clients don't wait for longer than this.
+    return std::min(spread, inMilliseconds(m_giveUpAt - Clock::now()) / longestWaitPart);
 }
 
 void CallFlow::refuse(ErrorKind kind, Milliseconds comeBackAfter)
--- a/src/burdockhead/gateway/servicegate.cpp
+++ b/src/burdockhead/gateway/servicegate.cpp
@@ -10,6 +10,11 @@
 constexpr unsigned refusalsBeforePause = 4;
 // How long nothing is sent then; a group of ranks opens again within about this time.
 constexpr Milliseconds refusalPause{300};
+// When refused clients should come back: after about the time in which a burst is worked off, and,
+// from a service that refuses everything, after the time in which a rank that crashed is back.
+// Clients come back once, so one that comes too early is lost.
+constexpr Milliseconds usualComeBack{500};
+constexpr Milliseconds outageComeBack{2500};
 // While refusals go on, so many requests try at a time.
 constexpr std::size_t trialsAtATime = 1;
 // How much one request moves the usual times: the last ten or so count.
@@ -71,6 +76,14 @@
         m_pausedUntil = now + refusalPause;
 }
 
+Milliseconds ServiceGate::comeBackAfter() const
+{
+    if (m_refusedInRow >= refusalsBeforePause)
+        return outageComeBack;
+    const auto wait = std::chrono::duration_cast<Milliseconds>(expectedWait(m_line.size()));
+    return std::clamp(wait, usualComeBack, outageComeBack);
+}
+
 Duration ServiceGate::expectedWait(std::size_t ahead) const
 {
     const std::size_t window = std::max<std::size_t>(m_window, 1);
--- a/src/burdockhead/gateway/servicegate.h
+++ b/src/burdockhead/gateway/servicegate.h
@@ -32,8 +32,8 @@
     // Whether a request may be sent now.
     bool mayStart(TimePoint now) const;
 
-    // When a pause ends; in the past without one.
-    TimePoint pausedUntil() const { return m_pausedUntil; }
+    // When a request that is refused now should come back.
+    Milliseconds comeBackAfter() const;
 
     void noteStarted() { ++m_running; }
 
--- a/tests/internal/gateway/test_servicegate.cpp
+++ b/tests/internal/gateway/test_servicegate.cpp
@@ -154,6 +154,19 @@
     BOOST_TEST(gate.mayStart(later));
 }
 
+// The load pattern of an outage of some seconds, in which each client comes back once.
+BOOST_AUTO_TEST_CASE(clients_of_a_service_that_refuses_everything_come_back_later)
+{
+    ServiceGate gate(retries);
+    gate.setWindow(50, 50);
+    const Milliseconds usual = gate.comeBackAfter();
+    for (int refusal = 0; refusal < 4; ++refusal)
+        gate.noteRefused(start);
+    BOOST_TEST(gate.comeBackAfter().count() >= 4 * usual.count());
+    gate.noteFirstByte(Milliseconds(300));
+    BOOST_TEST(gate.comeBackAfter().count() == usual.count());
+}
+
 // The load pattern of a demand for experts that shifts every few seconds, under a burst.
 BOOST_AUTO_TEST_CASE(a_smaller_window_while_steps_are_slow_keeps_more_streams_in_time)
 {
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -2,6 +2,7 @@
 #include "gatewayworld.h"
 #include <burdockhead/http/httprequest.h>
 
+#include <algorithm>
 #include <csignal>
 
 using namespace burdockhead;
@@ -78,6 +79,29 @@
     BOOST_TEST(call->body() == EndpointStandIn::events(1, 2));
 }
 
+// The load pattern of a group that refuses everything for seconds: clients of streams leave after
+// two without an event and then ask no more.
+BOOST_AUTO_TEST_CASE(streams_that_wait_are_told_to_come_back_before_their_clients_leave)
+{
+    constexpr Milliseconds patience{2000};
+    constexpr std::size_t streams = 16;
+    start();
+    misbehave(m_llm, Misbehaviour::Refuse);
+    const TimePoint sent = Clock::now();
+    std::vector<std::unique_ptr<ClientCall>> waiting;
+    for (std::size_t stream = 0; stream < streams; ++stream)
+        waiting.push_back(call("POST", "/stream/a"));
+    await([&] {
+        return std::all_of(waiting.begin(), waiting.end(),
+                           [](const auto &call) { return call->isOver(); });
+    });
+    BOOST_TEST((Clock::now() - sent < patience - Milliseconds(100)));
+    for (const auto &call : waiting) {
+        BOOST_TEST(call->status() == 503);
+        BOOST_TEST(!call->header("Retry-After").empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(what_may_run_once_is_not_repeated_when_its_answer_is_lost)
 {
     start();
