Let no follower wait for a collection that can't be read

Found by reading: the follower that tries the store in an outage could be one whose own collection alone fails, and the others of the process would have waited for it for ever. Only what shows that the store itself is away counts as an outage now.

Test: evacuations answer with bytes that can't be read, and the watches are cut twice; the configuration after that was never taken before.

--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -22,6 +22,8 @@
 // How often a follower looks whether another one has reached the store again.
 constexpr Milliseconds outagePoll{50};
 constexpr int statusOk = 200;
+constexpr int statusTooManyCalls = 429;
+constexpr int statusUnavailable = 503;
 
 } // namespace
 
@@ -111,7 +113,7 @@
     m_timer =
         m_parts.m_loop.callAt(now + (m_isWatching ? watchTime + watchMargin : listTimeout), [this] {
             m_timer = 0;
-            failed("timeout");
+            failed("timeout", true);
         });
 }
 
@@ -128,7 +130,7 @@
 void StoreFollower::callEnded(CallEnd end)
 {
     if (end != CallEnd::Complete) {
-        failed(end == CallEnd::NotSent ? "no connection" : "connection broke");
+        failed(end == CallEnd::NotSent ? "no connection" : "connection broke", true);
         return;
     }
     m_parts.m_loop.cancel(m_timer);
@@ -146,13 +148,14 @@
         return;
     }
     if (m_status != statusOk) {
-        failed("status " + std::to_string(m_status));
+        failed("status " + std::to_string(m_status),
+               m_status == statusTooManyCalls || m_status == statusUnavailable);
         return;
     }
     const auto page = m_isWatching ? m_parts.m_dialect.readChanges(m_kind, m_body)
                                    : m_parts.m_dialect.readList(m_kind, m_body);
     if (!page) {
-        failed("answer can't be read");
+        failed("answer can't be read", false);
         return;
     }
     succeeded();
@@ -208,7 +211,8 @@
     m_parts.m_outage.noteEnd();
 }
 
-void StoreFollower::failed(const std::string &reason)
+// What only this follower's collection suffers from is no outage: the others go on.
+void StoreFollower::failed(const std::string &reason, bool isOutage)
 {
     m_call.reset();
     m_parts.m_loop.cancel(m_timer);
@@ -221,7 +225,10 @@
             "store_lost",
             {{"collection", name()}, {"reason", reason}, {"revision", std::to_string(m_revision)}});
     }
-    m_parts.m_outage.noteFailure(m_kind);
+    if (isOutage)
+        m_parts.m_outage.noteFailure(m_kind);
+    else
+        m_parts.m_outage.noteEnd();
     const Milliseconds pause =
         std::min(firstPause * (1U << std::min(m_failures - 1, 5U)), longestPause);
     // Spread over half of the time, so that the fleet doesn't ask at one moment.
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -68,7 +68,7 @@
     void askWhenAllowed();
     void answered();
     void takeList(const StorePage &page);
-    void failed(const std::string &reason);
+    void failed(const std::string &reason, bool isOutage);
     void succeeded();
     const char *name() const;
 
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -296,6 +296,19 @@
     BOOST_TEST(ask("GET", "/safe/x")->status() == 200);
 }
 
+BOOST_AUTO_TEST_CASE(a_collection_that_cannot_be_read_keeps_no_change_of_another_back)
+{
+    start();
+    m_store.spoil("evacuations");
+    // Cuts the watches; the second time the one that is spoilt has failed already.
+    m_store.forgetHistory();
+    pass(Milliseconds(500));
+    m_store.forgetHistory();
+    m_store.put("config", "main", configuration(9, "fresh"));
+    pass(Seconds(2));
+    BOOST_TEST(ask("GET", "/safe/x", "fresh")->status() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(an_outage_of_the_store_stops_no_request_and_costs_few_calls)
 {
     start();
--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -100,6 +100,10 @@
         return;
     }
     const std::string kind = request.m_path.substr(std::string(pathPrefix).size());
+    if (kind == m_spoiled) {
+        exchange->answer(200, {{"Content-Type", "application/json"}}, "no JSON");
+        return;
+    }
     if (const auto after = request.queryValue("watch"))
         watch(exchange, kind, std::stoull(*after),
               Milliseconds(std::stoull(request.queryValue("waitMs").value_or("0"))));
--- a/tests/standins/fleet/storestandin.h
+++ b/tests/standins/fleet/storestandin.h
@@ -28,6 +28,9 @@
     // Answers every call with this status; 0 answers as usual.
     void setRefusal(int status) { m_refusal = status; }
 
+    // Answers calls for one collection with bytes that can't be read.
+    void spoil(const std::string &kind) { m_spoiled = kind; }
+
     // Forgets all changes so far and cuts the watches. Watches from before are then left
     // waiting for their whole time before they are told that the history is gone.
     void forgetHistory();
@@ -71,6 +74,7 @@
     std::uint64_t m_forgottenUpTo = 0;
     std::size_t m_calls = 0;
     int m_refusal = 0;
+    std::string m_spoiled;
     bool m_isSilent = false;
     bool m_isDeaf = false;
 };
