Never let a held group go because its ranks show nothing prepared

Cause: a rank that loads a map shows nothing prepared. One coordinator read that, and its order to go on arrived after another one had armed some ranks.

Change: such a group is first prepared and armed with a map of this coordinator, like any other; without rank 0 what may be prepared is replaced in any case.

--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -63,11 +63,6 @@
     return {views.back().m_rank, RankOrderType::Hold, views.back().m_epoch, 0, step};
 }
 
-bool hasPreparedNew(const RankView &view)
-{
-    return view.m_prepared && *view.m_prepared > view.m_map;
-}
-
 bool isArmedAlike(const std::vector<RankView> &views)
 {
     return std::all_of(views.begin(), views.end(), [&](const RankView &view) {
@@ -162,11 +157,8 @@
     disarm(views, result);
     if (!result.m_orders.empty())
         return result;
-    // Without a prepared map no order to arm can succeed any more.
-    if (std::none_of(views.begin(), views.end(), hasPreparedNew)) {
-        letGo(views, step, result);
-        return result;
-    }
+    // Ranks that show nothing prepared may be loading what another coordinator will arm, so the
+    // group isn't let go before they are all armed with a map of this one.
     if (planned && *planned >= nextVersion(views) - 1 && *planned > m_highestDisarmed)
         prepare(views, *planned, result);
     else
@@ -193,15 +185,13 @@
     disarm(views, result);
     if (!result.m_orders.empty())
         return result;
-    if (std::none_of(views.begin(), views.end(), hasPreparedNew)) {
-        letGo(views, step, result);
-    } else if (!planned || *planned <= m_highestDisarmed) {
+    if (!planned || *planned <= m_highestDisarmed) {
         result.m_needsPlan = true;
-    } else {
-        prepare(views, *planned, result);
-        if (result.m_orders.empty())
-            letGo(views, step, result);
+        return result;
     }
+    prepare(views, *planned, result);
+    if (result.m_orders.empty())
+        letGo(views, step, result);
     return result;
 }
 
--- a/src/burdockhead/rankagent/maprollout.h
+++ b/src/burdockhead/rankagent/maprollout.h
@@ -26,10 +26,10 @@
 // The map is prepared on all ranks. Then the last rank is told to hold the group before a step
 // that is a little ahead, and once it says that it does, all ranks are armed for that step, rank
 // 0 after the others. The group goes on when all say that they are armed. Nothing is ever armed
-// without a hold, and a hold is released only when either all ranks are armed alike or none can
-// be armed any more: an order whose answer was lost may be carried out seconds later, and one
-// that arms a rank does harm only before its step has begun. For the same reason a version that
-// any rank was told not to use is never armed again.
+// without a hold, and a hold is released only when all ranks are armed alike: an order whose
+// answer was lost may be carried out seconds later, and one that arms a rank does harm only
+// before its step has begun. For the same reason a version that any rank was told not to use is
+// never armed again.
 //
 // A change that has begun can be ended without rank 0, whose VM the coordinator shares and which
 // may have frozen with it.
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
 
 using namespace burdockhead;
@@ -197,6 +198,31 @@
     BOOST_TEST(splits(lateOrders, makeImpatient) > 0U);
 }
 
+// Found by fuzzing, seeds 2814 and 5043 of 20,000: another coordinator had had the ranks prepare a
+// map, and armed them with it before the order to go on arrived.
+BOOST_AUTO_TEST_CASE(a_group_is_not_let_go_because_its_ranks_show_nothing_prepared)
+{
+    constexpr Milliseconds fresh{10};
+    std::vector<RankView> views(ranks);
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        views[rank].m_rank = static_cast<std::uint32_t>(rank);
+        views[rank].m_ranks = ranks;
+        views[rank].m_isOpen = true;
+        views[rank].m_step = 7;
+    }
+    views.back().m_held = 8;
+    const auto letsGo = [](const RolloutStep &step) {
+        return std::any_of(step.m_orders.begin(), step.m_orders.end(), [](const RankOrder &order) {
+            return order.m_type == RankOrderType::Go;
+        });
+    };
+    BOOST_TEST(!letsGo(MapRollout().next(views, std::nullopt, fresh)));
+    BOOST_TEST(!letsGo(MapRollout().next(views, 3, fresh)));
+    views.erase(views.begin());
+    BOOST_TEST(!letsGo(MapRollout().next(views, std::nullopt, fresh)));
+    BOOST_TEST(!letsGo(MapRollout().next(views, 3, fresh)));
+}
+
 BOOST_AUTO_TEST_CASE(
     nothing_is_ordered_by_old_views_or_while_a_rank_is_unknown_or_the_group_is_broken)
 {
