--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t gatewaysOnEndpoint = 8;
 // Fewer endpoints than this are not divided.
 constexpr std::size_t leastDivided = 8;
-// A gateway uses its own endpoints up to this many times its part of their slots.
-constexpr unsigned fullPart = 1;
 
 // The endpoints that the gateway of that place first uses: a window of the ring of all.
 std::vector<KnownEndpointPointer> ownPart(const std::vector<KnownEndpointPointer> &all,
@@ -145,8 +143,8 @@
 {
     const std::vector<KnownEndpointPointer> all = usable(request.m_service, now);
     if (request.m_place && all.size() > leastDivided) {
-        const KnownEndpointPointer chosen = best(ownPart(all, *request.m_place), request, now);
-        if (chosen && chosen->m_inFlight * gatewaysOnEndpoint <= fullPart * chosen->m_entry.m_slots)
+        KnownEndpointPointer chosen = best(ownPart(all, *request.m_place), request, now);
+        if (chosen && chosen->m_inFlight * gatewaysOnEndpoint <= chosen->m_entry.m_slots)
             return chosen;
     }
     return best(all, request, now);
