Read the counts of ranks that have requests

Cause: in a group of 72 ranks the coordinator reads the counts of the first 17. Ruled out: lost rounds (all ranks answered).

Change: CountSample chooses ranks that count, spread over the group, and passes over those that don't. A rank that wasn't read for a second only sets its mark, or an old demand would be told with the new one. round_incomplete names missing ranks.

--- a/bench/expertmap/expertmapbench.cpp
+++ b/bench/expertmap/expertmapbench.cpp
@@ -70,7 +70,7 @@
     std::fflush(stdout);
 }
 
-void printDrift(const char *title, DriftCase driftCase)
+void printDrift(const char *title, const DriftCase &driftCase)
 {
     const StaticPlanner fixed;
     const FullRecomputePlanner full(driftCase.m_shape);
--- a/src/burdockhead/rankagent/countdifference.cpp
+++ b/src/burdockhead/rankagent/countdifference.cpp
@@ -2,10 +2,20 @@
 
 namespace burdockhead {
 
-ExpertCounts CountDifference::since(const ExpertCounts &counts, std::uint64_t startedAt)
+namespace {
+
+// A mark that is older than this is set anew: a coordinator reads some times a second, and the
+// demand shifts every few seconds.
+constexpr Milliseconds markHolds{1000};
+
+} // namespace
+
+ExpertCounts CountDifference::since(const ExpertCounts &counts, std::uint64_t startedAt,
+                                    TimePoint now)
 {
     ExpertCounts difference = counts;
-    const bool isKnown = m_startedAt == startedAt && m_last.size() == counts.m_counts.size();
+    const bool isKnown = m_startedAt == startedAt && m_last.size() == counts.m_counts.size()
+                         && now < m_readAt + markHolds;
     for (std::size_t index = 0; index < counts.m_counts.size(); ++index) {
         const std::uint64_t last = isKnown ? m_last[index] : counts.m_counts[index];
         difference.m_counts[index] =
@@ -13,6 +23,7 @@
     }
     m_last = counts.m_counts;
     m_startedAt = startedAt;
+    m_readAt = now;
     return difference;
 }
 
--- a/src/burdockhead/rankagent/countdifference.h
+++ b/src/burdockhead/rankagent/countdifference.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdockhead/base/timepoint.h>
 #include <burdockhead/rankagent/enginedialect.h>
 
 #include <cstdint>
@@ -8,15 +9,17 @@
 namespace burdockhead {
 
 // What a rank has counted since its counts were last read. A rank counts from its start on, so
-// the first reading only sets the mark, and a rank that has started again begins anew.
+// the first reading only sets the mark, as does the first one after a long time, which would tell
+// of a demand that may have changed since. A rank that has started again begins anew.
 class CountDifference
 {
 public:
-    ExpertCounts since(const ExpertCounts &counts, std::uint64_t startedAt);
+    ExpertCounts since(const ExpertCounts &counts, std::uint64_t startedAt, TimePoint now);
 
 private:
     std::vector<std::uint64_t> m_last;
     std::uint64_t m_startedAt = 0;
+    TimePoint m_readAt;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -180,7 +180,8 @@
                                           ? m_dialects.m_engine.readCounts(call.body())
                                           : std::optional<ExpertCounts>();
                   if (counts && m_view)
-                      m_counts = m_countDifference.since(*counts, m_view->m_startedAt);
+                      m_counts =
+                          m_countDifference.since(*counts, m_view->m_startedAt, Clock::now());
                   then();
               });
 }
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t relays = 8;
 // How long an agent that didn't answer is taken for silent, and its engine is asked instead.
 constexpr Milliseconds silencePause{1000};
+// Missing ranks that a line names at the most, so that lines stay short.
+constexpr std::size_t missingNamed = 8;
 // Maps that are remembered by their version: the one in use, and those on their way.
 constexpr std::size_t knownMaps = 4;
 // Between a hold and the orders to arm. The group seldom waits in this time, as it is held two
@@ -69,6 +71,11 @@
     return slowness;
 }
 
+bool hasAny(const std::vector<std::uint64_t> &counts)
+{
+    return std::any_of(counts.begin(), counts.end(), [](std::uint64_t count) { return count > 0; });
+}
+
 } // namespace
 
 RankCoordinator::RankCoordinator(const CoordinatorParts &parts, Random seed)
@@ -177,16 +184,17 @@
         [this, access](AgentCall &call) { engineAnswered(access, call); }));
 }
 
-// The first few ranks that answered in the last full round.
+// Of the ranks that answered in the last full round.
 std::vector<RankAccess> RankCoordinator::countedRanks() const
 {
     const std::size_t countsOfRank = std::max(1U, m_shape->m_layers * m_shape->m_experts);
     const std::size_t most = std::max<std::size_t>(1, countsInRound / countsOfRank);
+    std::vector<std::uint32_t> ranks;
+    for (const auto &[rank, access] : m_rankAccess)
+        ranks.push_back(rank);
     std::vector<RankAccess> counted;
-    for (const auto &[rank, access] : m_rankAccess) {
-        if (counted.size() < most)
-            counted.push_back(access);
-    }
+    for (const std::uint32_t rank : m_countSample.choose(ranks, most, Clock::now()))
+        counted.push_back(m_rankAccess.at(rank));
     return counted;
 }
 
@@ -201,6 +209,9 @@
     }
     if (status->m_view.m_group == m_group) {
         const std::uint32_t rank = status->m_view.m_rank;
+        const auto &counts = status->m_counts.m_counts;
+        if (!counts.empty())
+            m_countSample.note(rank, hasAny(counts), Clock::now());
         if (m_demand)
             m_demand->add(status->m_counts);
         if (m_isFullRound) {
@@ -241,6 +252,21 @@
     return views;
 }
 
+// The first few ranks that no view came from.
+std::string RankCoordinator::missingRanks() const
+{
+    std::string missing;
+    std::size_t count = 0;
+    const std::uint32_t ranks = m_ranks.empty() ? 0 : m_ranks.begin()->second.m_view.m_ranks;
+    for (std::uint32_t rank = 0; rank < ranks && count < missingNamed; ++rank) {
+        if (m_ranks.contains(rank))
+            continue;
+        missing += (count == 0 ? "" : ",") + std::to_string(rank);
+        ++count;
+    }
+    return missing;
+}
+
 // The map that the ranks use, known by its version or put together from what each holds; none
 // when they are in the midst of a change.
 std::optional<ExpertMap> RankCoordinator::mapInUse() const
@@ -314,7 +340,8 @@
     if (now.empty() || now.size() != now.front().m_ranks)
         m_parts.m_lines.add("round_incomplete", {{"group", *m_group},
                                                  {"answered", std::to_string(now.size())},
-                                                 {"asked", std::to_string(m_access.size())}});
+                                                 {"asked", std::to_string(m_access.size())},
+                                                 {"missing", missingRanks()}});
     if (m_plan && !now.empty() && now.front().m_epoch != m_plan->m_epoch)
         m_plan.reset();
     if (!m_plan && Clock::now() >= m_nextPlanAt)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -6,6 +6,7 @@
 #include <burdockhead/net/httpclientpool.h>
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
+#include <burdockhead/rankagent/countsample.h>
 #include <burdockhead/rankagent/expertdemand.h>
 #include <burdockhead/rankagent/maprollout.h>
 #include <burdockhead/rankagent/rankmessages.h>
@@ -76,6 +77,7 @@
     void oneLessUnanswered();
     void endRound();
     std::vector<RankView> views() const;
+    std::string missingRanks() const;
     std::optional<ExpertMap> mapInUse() const;
     std::optional<ExpertMap> newestMap() const;
     std::vector<RankAccess> countedRanks() const;
@@ -99,6 +101,7 @@
     std::optional<ExpertShape> m_shape;
     std::optional<std::string> m_group;
     std::optional<ExpertDemand> m_demand;
+    CountSample m_countSample;
     MapRollout m_rollout;
     std::optional<Plan> m_plan;
     std::map<std::uint32_t, RankStatus> m_ranks;      // Of the last full round.
--- a/tests/internal/rankagent/test_expertdemand.cpp
+++ b/tests/internal/rankagent/test_expertdemand.cpp
@@ -83,16 +83,29 @@
 BOOST_AUTO_TEST_CASE(counts_are_told_from_the_last_reading_on)
 {
     CountDifference difference;
-    BOOST_TEST((difference.since({1, {100, 50}}, 7) == ExpertCounts{1, {0, 0}}));
-    BOOST_TEST((difference.since({1, {130, 50}}, 7) == ExpertCounts{1, {30, 0}}));
+    const TimePoint now = Clock::now();
+    BOOST_TEST((difference.since({1, {100, 50}}, 7, now) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {130, 50}}, 7, now) == ExpertCounts{1, {30, 0}}));
 }
 
 BOOST_AUTO_TEST_CASE(a_rank_that_starts_again_counts_anew)
 {
     CountDifference difference;
-    difference.since({1, {100, 50}}, 7);
-    BOOST_TEST((difference.since({1, {120, 60}}, 8) == ExpertCounts{1, {0, 0}}));
-    BOOST_TEST((difference.since({1, {125, 61}}, 8) == ExpertCounts{1, {5, 1}}));
+    const TimePoint now = Clock::now();
+    difference.since({1, {100, 50}}, 7, now);
+    BOOST_TEST((difference.since({1, {120, 60}}, 8, now) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {125, 61}}, 8, now) == ExpertCounts{1, {5, 1}}));
+}
+
+// Counts of several seconds would hide a shift of the demand in between.
+BOOST_AUTO_TEST_CASE(counts_of_a_rank_that_was_not_read_for_long_are_not_told)
+{
+    CountDifference difference;
+    const TimePoint now = Clock::now();
+    difference.since({1, {100, 50}}, 7, now);
+    const TimePoint later = now + Seconds(5);
+    BOOST_TEST((difference.since({1, {9100, 50}}, 7, later) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {9130, 52}}, 7, later) == ExpertCounts{1, {30, 2}}));
 }
 
 BOOST_AUTO_TEST_CASE(few_counts_wait_for_more)
