--- a/src/burdockhead/expertmap/layerbalancer.cpp
+++ b/src/burdockhead/expertmap/layerbalancer.cpp
@@ -9,6 +9,13 @@
 
 constexpr std::size_t maxTargets = 32;       // Ranks weighed as the other end of a move.
 constexpr double leastRelativeGain = 0.0005; // Smaller ones are not worth a move.
+// What a move without a load counts as, so that its gain can be compared with others'.
+constexpr double leastLoads = 0.5;
+
+double scoreOf(double gain, std::size_t loads)
+{
+    return gain / std::max(leastLoads, static_cast<double>(loads));
+}
 
 } // namespace
 
@@ -108,16 +115,23 @@
 {
     const ReplicaChange add{expert, target, true};
     const ReplicaChange leave{expert, heavy, false};
+    // What the heaviest rank gives away and the target takes, by a further replica and by a move.
+    const double spread = share(expert, 0) - share(expert, 1);
+    const double moved = share(expert, 0);
     if (hasFreeSlot(target)) {
-        consider(heavy, {{add}});
-        consider(heavy, {{add, leave}});
+        if (canBeBest(heavy, target, {spread, share(expert, 1), 1}))
+            consider(heavy, {{add}});
+        if (canBeBest(heavy, target, {moved, moved, 1}))
+            consider(heavy, {{add, leave}});
     }
     for (const std::uint16_t other : m_held[target]) {
-        if (!isDroppable(other) || !relieves(heavy, target, share(expert, 1) - share(other, 0)))
+        if (!isDroppable(other))
             continue;
         const ReplicaChange drop{other, target, false};
-        consider(heavy, {{drop, add}});
-        consider(heavy, {{drop, add, leave}});
+        if (canBeBest(heavy, target, {spread, share(expert, 1) - share(other, 0), 1}))
+            consider(heavy, {{drop, add}});
+        if (canBeBest(heavy, target, {moved, moved - share(other, 0), 1}))
+            consider(heavy, {{drop, add, leave}});
     }
 }
 
@@ -130,7 +144,8 @@
         if (holds(target, expert))
             continue;
         for (const std::uint16_t evicted : m_held[target]) {
-            if (!relieves(heavy, target, share(expert, 1) - share(evicted, 0)))
+            const double spread = share(expert, 0) - share(expert, 1);
+            if (!canBeBest(heavy, target, {spread, share(expert, 1) - share(evicted, 0), 2}))
                 continue;
             tryEvictionTo(heavy, {expert, target, true}, {evicted, heavy, true});
             for (const std::uint16_t destination : targets)
@@ -146,13 +161,17 @@
     if (destination == replicate.m_rank || holds(destination, evict.m_expert))
         return;
     const ReplicaChange leave{evict.m_expert, replicate.m_rank, false};
+    const double evictedLoad = share(evict.m_expert, 0);
     if (hasFreeSlot(destination)) {
-        consider(heavy, {{leave, evict, replicate}});
+        if (destination == heavy || relieves(heavy, destination, evictedLoad))
+            consider(heavy, {{leave, evict, replicate}});
         return;
     }
     for (const std::uint16_t other : m_held[destination]) {
         const bool isMoved = other == replicate.m_expert && destination == heavy;
-        if (isDroppable(other) && !isMoved)
+        if (isDroppable(other) && !isMoved
+            && (destination == heavy
+                || relieves(heavy, destination, evictedLoad - share(other, 0))))
             consider(heavy, {{{other, destination, false}, leave, evict, replicate}});
     }
 }
@@ -161,7 +180,8 @@
 {
     for (const std::uint16_t other : m_held[target]) {
         const double difference = share(expert, 0) - share(other, 0);
-        if (difference <= 0 || holds(heavy, other) || !relieves(heavy, target, difference))
+        if (difference <= 0 || holds(heavy, other)
+            || !canBeBest(heavy, target, {difference, difference, 2}))
             continue;
         consider(heavy, {{{expert, heavy, false},
                           {other, target, false},
@@ -170,15 +190,30 @@
     }
 }
 
+// Whether a move could be better than the best one so far, by what it does to its two ends alone;
+// spares weighing most moves in full.
+bool LayerBalancer::canBeBest(std::uint16_t heavy, std::uint16_t target,
+                              const Shifted &shifted) const
+{
+    const double before = m_rankLoads[heavy];
+    const double heavyAfter = before - shifted.m_taken * slowness(heavy);
+    const double targetAfter = m_rankLoads[target] + shifted.m_given * slowness(target);
+    return isBetter(before, before - std::max(heavyAfter, targetAfter), shifted.m_loads);
+}
+
+bool LayerBalancer::isBetter(double before, double gain, std::size_t loads) const
+{
+    return gain >= before * leastRelativeGain
+           && (!m_best || scoreOf(gain, loads) > m_best->m_score);
+}
+
 void LayerBalancer::consider(std::uint16_t heavy, PlacementMove move)
 {
     const double before = m_rankLoads[heavy];
     const double gain = before - heaviestAfter(move);
-    if (gain < before * leastRelativeGain)
-        return;
-    const double loads = std::max(0.5, static_cast<double>(move.loads()));
-    if (!m_best || gain / loads > m_best->m_score)
-        m_best = Candidate{std::move(move), gain / loads};
+    const std::size_t loads = move.loads();
+    if (isBetter(before, gain, loads))
+        m_best = Candidate{std::move(move), scoreOf(gain, loads)};
 }
 
 // The heaviest load among the ranks whose load the move changes.
--- a/src/burdockhead/expertmap/layerbalancer.h
+++ b/src/burdockhead/expertmap/layerbalancer.h
@@ -31,6 +31,14 @@
         double m_score = 0; // Load taken off the heaviest rank, for each expert to load.
     };
 
+    // What a move does to the two ranks between which it is made.
+    struct Shifted
+    {
+        double m_taken = 0; // Load that the heaviest rank gives away.
+        double m_given = 0; // Load that the target gets.
+        std::size_t m_loads = 0;
+    };
+
     bool holds(std::size_t rank, std::size_t expert) const;
     bool hasFreeSlot(std::size_t rank) const
     {
@@ -51,6 +59,8 @@
                      const std::vector<std::uint16_t> &targets);
     void tryEvictionTo(std::uint16_t heavy, const ReplicaChange &replicate,
                        const ReplicaChange &evict);
+    bool canBeBest(std::uint16_t heavy, std::uint16_t target, const Shifted &shifted) const;
+    bool isBetter(double before, double gain, std::size_t loads) const;
     void consider(std::uint16_t heavy, PlacementMove move);
     double heaviestAfter(const PlacementMove &move);
     void addDeltas(const PlacementMove &move, std::uint16_t expert);
--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -11,20 +11,8 @@
 // Bounds the work on one layer; a change rarely allows more.
 constexpr std::size_t maxMoves = 128;
 
-using NewExperts = std::vector<std::size_t>; // By rank.
-
-// How many experts each rank holds in one placement and not in the other.
-NewExperts newExperts(const LayerPlacement &from, const LayerPlacement &to, std::size_t ranks)
-{
-    NewExperts added(ranks, 0);
-    for (std::size_t expert = 0; expert < to.size(); ++expert) {
-        for (const std::uint16_t rank : to[expert]) {
-            if (!std::binary_search(from[expert].begin(), from[expert].end(), rank))
-                ++added[rank];
-        }
-    }
-    return added;
-}
+// Experts that a rank has to load, by rank.
+using NewExperts = std::vector<std::ptrdiff_t>;
 
 // The moves of a layer that are worth their loads, in order.
 std::vector<PlacementMove> movesOf(const LayerPlacement &current, const LayerLoads &loads,
@@ -52,25 +40,39 @@
     std::size_t m_taken = 0;
 };
 
+// Counts the experts that a move makes new to ranks, or, with -1, takes that back.
+void countNew(LayerPlan &plan, const PlacementMove &move, const LayerPlacement &current,
+              NewExperts &newInAll, int sign)
+{
+    for (const ReplicaChange &change : move.m_changes) {
+        const ExpertReplicas &held = current[change.m_expert];
+        if (std::binary_search(held.begin(), held.end(), change.m_rank))
+            continue;
+        const int added = change.m_add ? sign : -sign;
+        plan.m_new[change.m_rank] += added;
+        newInAll[change.m_rank] += added;
+    }
+}
+
 // Takes a layer's next move if no rank would load more than the limits allow.
 bool takeNext(LayerPlan &plan, const LayerPlacement &current, const MapChangeLimits &limits,
               NewExperts &newInAll)
 {
     if (plan.m_taken == plan.m_moves.size())
         return false;
-    LayerPlacement next = plan.m_placement;
-    applyMove(next, plan.m_moves[plan.m_taken]);
-    const NewExperts added = newExperts(current, next, limits.m_shape.m_ranks);
-    for (std::size_t rank = 0; rank < added.size(); ++rank) {
-        const std::size_t inAll = newInAll[rank] - plan.m_new[rank] + added[rank];
-        if (added[rank] > limits.m_newPerRank
-            || (added[rank] > plan.m_new[rank] && inAll > limits.m_newPerRankInAll))
-            return false;
+    const PlacementMove &move = plan.m_moves[plan.m_taken];
+    countNew(plan, move, current, newInAll, 1);
+    const auto isOver = [&](const ReplicaChange &change) {
+        const std::size_t rank = change.m_rank;
+        return plan.m_new[rank] > static_cast<std::ptrdiff_t>(limits.m_newPerRank)
+               || (change.m_add
+                   && newInAll[rank] > static_cast<std::ptrdiff_t>(limits.m_newPerRankInAll));
+    };
+    if (std::any_of(move.m_changes.begin(), move.m_changes.end(), isOver)) {
+        countNew(plan, move, current, newInAll, -1);
+        return false;
     }
-    for (std::size_t rank = 0; rank < added.size(); ++rank)
-        newInAll[rank] += added[rank] - plan.m_new[rank];
-    plan.m_placement = std::move(next);
-    plan.m_new = added;
+    applyMove(plan.m_placement, move);
     ++plan.m_taken;
     return true;
 }
