Ask the deputies in every round

Its log: the demand shifted while a change was being loaded; the coordinator read counts for some rounds, which ask only the ranks whose counts are read; the first deputy's rank still had the loaded map, so it counted as in a change, took over after 400 ms without being asked, and the two replaced each other's versions for a second.

Change: a round that reads counts asks the deputies too.

--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -4,6 +4,7 @@
 #include <burdockhead/process/processstart.h>
 #include <burdockhead/rankagent/agentcall.h>
 #include <burdockhead/rankagent/countdifference.h>
+#include <burdockhead/rankagent/deputies.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
 #include <burdockhead/settings/valuetext.h>
@@ -21,12 +22,6 @@
 constexpr Milliseconds lookInterval{500};
 // The same while a map change is under way, for an agent that may have to end it.
 constexpr Milliseconds changeLookInterval{100};
-// A deputy takes over after this silence of the coordinator, which asks each rank about every
-// 700 ms, and many times as often during a change; each further deputy somewhat later.
-constexpr Milliseconds silence{1500};
-constexpr Milliseconds changeSilence{400};
-constexpr Milliseconds deputyStep{600};
-constexpr std::uint32_t lastDeputy = 2;
 // Agents need no change of the store at once; their watches are as long as those of this many
 // gateways.
 constexpr std::size_t watchesAsInFleet = 10;
@@ -45,12 +40,6 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusNoAnswer = 504;
 
-// Whether the rank has a map that isn't in use yet.
-bool isInChange(const RankView &view)
-{
-    return view.m_armed || view.m_held || (view.m_prepared && *view.m_prepared > view.m_map);
-}
-
 // The agent with everything that it consists of.
 class RankAgentProcess
 {
@@ -77,7 +66,6 @@
     void look();
     void coordinate();
     void noteCoordinator(const std::string &rank);
-    TimePoint takesOverAt() const;
     void takeEndpoints(const std::vector<StoreChange> &changes, bool isList);
     void takeConfiguration(const std::vector<StoreChange> &changes);
     void writeLines();
@@ -293,7 +281,7 @@
 void RankAgentProcess::look()
 {
     readView([this] { coordinate(); });
-    const bool mayTakeOver = m_isFollowing && m_view && isInChange(*m_view);
+    const bool mayTakeOver = m_isFollowing && m_view && m_view->isInChange();
     m_loop.callAt(Clock::now() + (mayTakeOver ? changeLookInterval : lookInterval),
                   [this] { look(); });
 }
@@ -315,17 +303,11 @@
     if (!m_view)
         return;
     const std::uint32_t rank = m_view->m_rank;
-    const bool isActing = isCandidate && (rank == 0 || Clock::now() > takesOverAt());
+    const bool isActing =
+        isCandidate && (rank == 0 || Clock::now() > takesOverAt(*m_view, m_coordinatedAt));
     m_coordinator.setGroup(isActing ? std::optional(m_view->m_group) : std::nullopt, rank);
 }
 
-TimePoint RankAgentProcess::takesOverAt() const
-{
-    const int deputiesBefore = static_cast<int>(m_view->m_rank) - 1;
-    return m_coordinatedAt + (isInChange(*m_view) ? changeSilence : silence)
-           + deputyStep * deputiesBefore;
-}
-
 void RankAgentProcess::takeEndpoints(const std::vector<StoreChange> &changes, bool isList)
 {
     if (isList)
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -1,6 +1,7 @@
 #include <burdockhead/observe/wallclock.h>
 #include <burdockhead/process/processstart.h>
 #include <burdockhead/rankagent/agentcall.h>
+#include <burdockhead/rankagent/deputies.h>
 #include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
@@ -144,14 +145,16 @@
     }
     const TimePoint now = Clock::now();
     m_isFullRound = m_plan || m_isHolding || m_rankAccess.empty() || now >= m_nextFullRoundAt;
-    const std::vector<RankAccess> counted = countedRanks();
+    const std::vector<std::uint32_t> countedRanks = this->countedRanks();
+    const std::vector<RankAccess> counted = accessOf(countedRanks);
+    const std::vector<RankAccess> asked =
+        m_isFullRound ? m_access : accessOf(ranksOfCountRound(countedRanks, knownRanks()));
     if (m_isFullRound) {
         m_viewsFrom = bootMilliseconds();
         m_nextFullRoundAt = now + fullRoundInterval;
         m_ranks.clear();
         m_rankAccess.clear();
     }
-    const std::vector<RankAccess> asked = m_isFullRound ? m_access : counted;
     m_unanswered = asked.size();
     for (const RankAccess &access : asked) {
         const auto silent = m_silentUntil.find(access.m_agent);
@@ -184,18 +187,28 @@
         [this, access](AgentCall &call) { engineAnswered(access, call); }));
 }
 
-// Of the ranks that answered in the last full round.
-std::vector<RankAccess> RankCoordinator::countedRanks() const
+// Those that answered in the last full round.
+std::vector<std::uint32_t> RankCoordinator::knownRanks() const
 {
-    const std::size_t countsOfRank = std::max(1U, m_shape->m_layers * m_shape->m_experts);
-    const std::size_t most = std::max<std::size_t>(1, countsInRound / countsOfRank);
     std::vector<std::uint32_t> ranks;
     for (const auto &[rank, access] : m_rankAccess)
         ranks.push_back(rank);
-    std::vector<RankAccess> counted;
-    for (const std::uint32_t rank : m_countSample.choose(ranks, most, Clock::now()))
-        counted.push_back(m_rankAccess.at(rank));
-    return counted;
+    return ranks;
+}
+
+std::vector<RankAccess> RankCoordinator::accessOf(const std::vector<std::uint32_t> &ranks) const
+{
+    std::vector<RankAccess> access;
+    for (const std::uint32_t rank : ranks)
+        access.push_back(m_rankAccess.at(rank));
+    return access;
+}
+
+std::vector<std::uint32_t> RankCoordinator::countedRanks() const
+{
+    const std::size_t countsOfRank = std::max(1U, m_shape->m_layers * m_shape->m_experts);
+    const std::size_t most = std::max<std::size_t>(1, countsInRound / countsOfRank);
+    return m_countSample.choose(knownRanks(), most, Clock::now());
 }
 
 void RankCoordinator::answered(const RankAccess &access, const AgentCall &call)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -80,7 +80,9 @@
     std::string missingRanks() const;
     std::optional<ExpertMap> mapInUse() const;
     std::optional<ExpertMap> newestMap() const;
-    std::vector<RankAccess> countedRanks() const;
+    std::vector<std::uint32_t> knownRanks() const;
+    std::vector<RankAccess> accessOf(const std::vector<std::uint32_t> &ranks) const;
+    std::vector<std::uint32_t> countedRanks() const;
     bool isMakingSteps();
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
--- a/src/burdockhead/rankagent/rankview.h
+++ b/src/burdockhead/rankagent/rankview.h
@@ -31,6 +31,9 @@
     std::optional<std::uint64_t> m_held; // The step before which the group waits.
     double m_slowness = 1;               // Time for the same work, against a rank in good health.
 
+    // Whether the rank has a map that isn't in use yet.
+    bool isInChange() const { return m_armed || m_held || (m_prepared && *m_prepared > m_map); }
+
     friend bool operator==(const RankView &, const RankView &) = default;
 };
 
