Let the newest waiting requests start first while there is a backlog

Change: while some in the line are late already, the newest of the most urgent that are on time go first. Late ones keep their order.

--- a/src/burdockhead/gateway/waitingline.cpp
+++ b/src/burdockhead/gateway/waitingline.cpp
@@ -30,11 +30,21 @@
 std::optional<Waiter> WaitingLine::pop(TimePoint now)
 {
     moveLate(now);
-    const auto &line = m_onTime.empty() ? m_late : m_onTime;
-    if (line.empty())
+    if (m_waiters.empty())
         return std::nullopt;
-    const Waiter waiter = m_waiters.at(line.begin()->second);
-    remove(waiter.m_id);
+    WaiterId next = 0;
+    if (m_onTime.empty()) {
+        next = m_late.begin()->second;
+    } else if (m_late.empty()) {
+        next = m_onTime.begin()->second;
+    } else {
+        // The newest of the most urgent: in order of arrival each would start when it is about to
+        // be late, and with little chance to end in time.
+        const Order end = {m_onTime.begin()->first.m_priority + 1, {}, 0};
+        next = std::prev(m_onTime.lower_bound(end))->second;
+    }
+    const Waiter waiter = m_waiters.at(next);
+    remove(next);
     return waiter;
 }
 
--- a/src/burdockhead/gateway/waitingline.h
+++ b/src/burdockhead/gateway/waitingline.h
@@ -24,8 +24,9 @@
 };
 
 // The requests that wait for one service. Those that can still be on time go first, by
-// priority and arrival; the others follow in the same order. Answers the load pattern of a
-// burst over capacity: in plain order of arrival one backlog makes every later request late.
+// priority and arrival; the others follow in the same order. While some are late, the newest of
+// those on time goes first. Answers the load pattern of a burst over capacity or of an outage: in
+// plain order of arrival one backlog makes every later request late.
 class WaitingLine
 {
 public:
--- a/tests/internal/gateway/test_waitingline.cpp
+++ b/tests/internal/gateway/test_waitingline.cpp
@@ -35,6 +35,28 @@
     return inTime;
 }
 
+// A backlog of a second, then as many arrivals as the service can start. An answer may take longer
+// than usual by up to `surplus`; how many come in time, of those that arrive after the backlog.
+template <typename Push, typename TakeNext>
+unsigned answeredInTime(Push push, TakeNext takeNext)
+{
+    constexpr Milliseconds objective{400};
+    constexpr int slice = 10;
+    constexpr int surplus = 100;
+    unsigned inTime = 0;
+    WaiterId id = 0;
+    for (; id < 100; ++id)
+        push(waiter(id, 1, Milliseconds(0), objective));
+    for (int at = 0; at < 6000; at += slice) {
+        const TimePoint now = start + Milliseconds(at);
+        push(waiter(++id, 1, Milliseconds(at), objective));
+        const auto next = takeNext(now);
+        const Milliseconds longer{at / slice % 10 * surplus / 10};
+        inTime += next && next->m_id > 100 && now + longer <= next->m_onTimeUntil ? 1 : 0;
+    }
+    return inTime;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Waiting)
@@ -90,4 +112,40 @@
     BOOST_TEST(ours > 2 * inOrder, ours << " in time, in order of arrival " << inOrder);
 }
 
+// The load pattern after an outage, whose backlog the service can't work off: in order of arrival
+// each request would start when it is about to be late.
+BOOST_AUTO_TEST_CASE(with_a_backlog_the_newest_start_while_they_have_time_to_spare)
+{
+    WaitingLine line;
+    const unsigned ours = answeredInTime([&](const Waiter &next) { line.push(next); },
+                                         [&](TimePoint now) { return line.pop(now); });
+    std::deque<Waiter> arrivals;
+    const auto takeOldestOnTime = [&](TimePoint now) -> std::optional<Waiter> {
+        while (!arrivals.empty() && arrivals.front().m_onTimeUntil < now)
+            arrivals.pop_front();
+        if (arrivals.empty())
+            return std::nullopt;
+        const Waiter next = arrivals.front();
+        arrivals.pop_front();
+        return next;
+    };
+    const unsigned oldestOnTime =
+        answeredInTime([&](const Waiter &next) { arrivals.push_back(next); }, takeOldestOnTime);
+    BOOST_TEST(ours > 2 * oldestOnTime, ours << " in time, oldest first " << oldestOnTime);
+}
+
+BOOST_AUTO_TEST_CASE(with_a_backlog_the_urgent_still_go_before_the_newest)
+{
+    WaitingLine line;
+    line.push(waiter(1, 0, Milliseconds(0), Milliseconds(50)));
+    line.push(waiter(2, 1, Milliseconds(100), Milliseconds(500)));
+    line.push(waiter(3, 1, Milliseconds(110), Milliseconds(500)));
+    line.push(waiter(4, 2, Milliseconds(120), Milliseconds(500)));
+    const TimePoint now = start + Milliseconds(150);
+    BOOST_TEST(line.pop(now)->m_id == 3U);
+    BOOST_TEST(line.pop(now)->m_id == 2U);
+    BOOST_TEST(line.pop(now)->m_id == 4U);
+    BOOST_TEST(line.pop(now)->m_id == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
