Fill a service that opens again once its steps are quick

With ten streams on each rank and the first map no step ended within the longest pause, so all of them were late, and the first map change had to wait for them too.

Change: a gate that opens after refusals counts its steps as slow until events show otherwise. The test that replays it fails without the change.

--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -298,7 +298,7 @@
     const TimePoint now = Clock::now();
     ServiceGate &gate = m_router.gate(m_service);
     if (m_lastEventAt < m_sentAt)
-        gate.noteFirstByte(now - m_sentAt);
+        gate.noteFirstByte(now - m_sentAt, now);
     else
         gate.noteEventPause(now - m_lastEventAt, m_route.m_longestPause, now);
     m_lastEventAt = now;
--- a/src/burdockhead/gateway/servicegate.cpp
+++ b/src/burdockhead/gateway/servicegate.cpp
@@ -25,6 +25,9 @@
 // The part of the longest pause from which on steps count as slow. More requests would make
 // them slower still, and every stream late.
 constexpr double slowPause = 0.8;
+// What the mean pause counts as when a service opens again: a group that has formed anew uses its
+// first map, and all that has waited would come at once.
+constexpr double pauseAfterOutage = 1;
 // Pauses that are older than this say nothing.
 constexpr Milliseconds pauseHolds{500};
 
@@ -53,8 +56,12 @@
     m_eventPauseAt = now;
 }
 
-void ServiceGate::noteFirstByte(Duration took)
+void ServiceGate::noteFirstByte(Duration took, TimePoint now)
 {
+    if (m_refusedInRow >= refusalsBeforePause) {
+        m_eventPause = pauseAfterOutage;
+        m_eventPauseAt = now;
+    }
     m_refusedInRow = 0;
     follow(m_usualFirstByte, took);
 }
--- a/src/burdockhead/gateway/servicegate.h
+++ b/src/burdockhead/gateway/servicegate.h
@@ -48,7 +48,7 @@
 
     // The time from sending a request until the first byte of its answer came. Ends a pause:
     // what the service answers, it has taken.
-    void noteFirstByte(Duration took);
+    void noteFirstByte(Duration took, TimePoint now);
     Duration usualFirstByte() const { return m_usualFirstByte; }
 
     // How long a request usually is at its endpoint.
--- a/tests/internal/gateway/test_servicegate.cpp
+++ b/tests/internal/gateway/test_servicegate.cpp
@@ -150,7 +150,27 @@
     BOOST_REQUIRE(gate.mayStart(later));
     gate.noteStarted();
     BOOST_TEST(!gate.mayStart(later));
-    gate.noteFirstByte(Milliseconds(300));
+    gate.noteFirstByte(Milliseconds(300), later);
+    BOOST_TEST(gate.mayStart(later));
+}
+
+// The load pattern of a group that opens again with its first map while a thousand requests wait:
+// all at once they would make its steps too slow for any of them.
+BOOST_AUTO_TEST_CASE(a_service_that_opens_again_is_filled_once_its_steps_are_quick)
+{
+    constexpr std::size_t slowWindow = 10;
+    ServiceGate gate(retries);
+    gate.setWindow(50, slowWindow);
+    for (int refusal = 0; refusal < 4; ++refusal)
+        gate.noteRefused(start);
+    const TimePoint later = start + Seconds(1);
+    gate.noteStarted();
+    gate.noteFirstByte(Milliseconds(300), later);
+    while (gate.mayStart(later))
+        gate.noteStarted();
+    BOOST_TEST(gate.running() == slowWindow);
+    for (int event = 0; event < 20; ++event)
+        gate.noteEventPause(longestPause / 2, longestPause, later);
     BOOST_TEST(gate.mayStart(later));
 }
 
@@ -163,7 +183,7 @@
     for (int refusal = 0; refusal < 4; ++refusal)
         gate.noteRefused(start);
     BOOST_TEST(gate.comeBackAfter().count() >= 4 * usual.count());
-    gate.noteFirstByte(Milliseconds(300));
+    gate.noteFirstByte(Milliseconds(300), start);
     BOOST_TEST(gate.comeBackAfter().count() == usual.count());
 }
 
