Let clients who have come back go before those who still can

Cause: in an outage each client is refused once and comes back once.

Change: ClientAges tells for how long a client has been trying, by what is left of its deadline against the longest of its route. Such a request counts as late from the start, and late ones go by deadline.

--- a/src/burdockhead/gateway/callflow.cpp
+++ b/src/burdockhead/gateway/callflow.cpp
@@ -134,6 +134,9 @@
     }
     m_giveUpAt =
         m_arrivedAt + std::min(m_route.m_timeout, m_facts.m_timeLeft.value_or(m_route.m_timeout));
+    if (m_facts.m_timeLeft)
+        m_age = m_router.clientAges().ageOf(m_route.m_name, *m_facts.m_timeLeft);
+    m_waiter.m_givesUpAt = m_giveUpAt;
     return true;
 }
 
@@ -185,7 +188,7 @@
 {
     m_isWaiting = true;
     m_waiter.m_onTimeUntil =
-        m_arrivedAt + m_route.m_objective - m_router.gate(m_service).usualFirstByte();
+        m_arrivedAt - m_age + m_route.m_objective - m_router.gate(m_service).usualFirstByte();
     m_router.wait(m_service, m_waiter);
     setTimer(startBy());
 }
--- a/src/burdockhead/gateway/callflow.h
+++ b/src/burdockhead/gateway/callflow.h
@@ -76,6 +76,7 @@
     WorkspaceName m_workspace;
     std::uint64_t m_configurationVersion = 0;
     TimePoint m_giveUpAt;
+    Milliseconds m_age{0}; // For how long the client had been trying when the request came.
     TimerId m_timer = 0;
 
     std::unique_ptr<HttpCall> m_call;
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/gateway/calldialect.h>
+#include <burdockhead/gateway/clientages.h>
 #include <burdockhead/gateway/endpointtable.h>
 #include <burdockhead/gateway/gatewaybounds.h>
 #include <burdockhead/gateway/gatewayconfiguration.h>
@@ -65,6 +66,7 @@
     void letWaitingGo(const GroupName &service);
     void forget(WaiterId id);
     Random &random() { return m_random; }
+    ClientAges &clientAges() { return m_clientAges; }
 
 private:
     void sizeWindow(const GroupName &service, ServiceGate &gate);
@@ -76,6 +78,7 @@
     std::map<GroupName, ServiceGate> m_gates;
     std::map<GroupName, TimerId> m_wakeUps;
     std::unordered_map<WaiterId, std::shared_ptr<CallFlow>> m_flows;
+    ClientAges m_clientAges;
     FleetPlace m_place; // As of the last refresh.
     WaiterId m_lastFlow = 0;
     bool m_refusesNew = false;
--- a/src/burdockhead/gateway/waitingline.cpp
+++ b/src/burdockhead/gateway/waitingline.cpp
@@ -5,15 +5,20 @@
 
 namespace burdockhead {
 
-WaitingLine::Order WaitingLine::orderOf(const Waiter &waiter)
+WaitingLine::Order WaitingLine::orderOnTime(const Waiter &waiter)
 {
     return {waiter.m_priority, waiter.m_arrivedAt, waiter.m_id};
 }
 
+WaitingLine::Order WaitingLine::orderLate(const Waiter &waiter)
+{
+    return {waiter.m_priority, waiter.m_givesUpAt, waiter.m_id};
+}
+
 void WaitingLine::push(const Waiter &waiter)
 {
     m_waiters.emplace(waiter.m_id, waiter);
-    m_onTime.emplace(orderOf(waiter), waiter.m_id);
+    m_onTime.emplace(orderOnTime(waiter), waiter.m_id);
     m_turnsLate.emplace(waiter.m_onTimeUntil, waiter.m_id);
 }
 
@@ -22,8 +27,8 @@
     while (!m_turnsLate.empty() && m_turnsLate.begin()->first < now) {
         const Waiter &waiter = m_waiters.at(m_turnsLate.begin()->second);
         m_turnsLate.erase(m_turnsLate.begin());
-        m_onTime.erase(orderOf(waiter));
-        m_late.emplace(orderOf(waiter), waiter.m_id);
+        m_onTime.erase(orderOnTime(waiter));
+        m_late.emplace(orderLate(waiter), waiter.m_id);
     }
 }
 
@@ -55,8 +60,8 @@
         return false;
     const Waiter waiter = found->second;
     m_waiters.erase(found);
-    m_onTime.erase(orderOf(waiter));
-    m_late.erase(orderOf(waiter));
+    m_onTime.erase(orderOnTime(waiter));
+    m_late.erase(orderLate(waiter));
     const auto [first, last] = m_turnsLate.equal_range(waiter.m_onTimeUntil);
     const auto turn =
         std::find_if(first, last, [&](const auto &item) { return item.second == id; });
@@ -68,7 +73,7 @@
 std::size_t WaitingLine::ahead(const Waiter &waiter, TimePoint now)
 {
     moveLate(now);
-    const auto before = m_onTime.lower_bound(orderOf(waiter));
+    const auto before = m_onTime.lower_bound(orderOnTime(waiter));
     return static_cast<std::size_t>(std::distance(m_onTime.begin(), before));
 }
 
--- a/src/burdockhead/gateway/waitingline.h
+++ b/src/burdockhead/gateway/waitingline.h
@@ -19,13 +19,15 @@
     std::uint32_t m_priority = 0; // 0 is the most urgent.
     TimePoint m_arrivedAt;
     TimePoint m_onTimeUntil; // A start after this comes too late for the objective.
+    TimePoint m_givesUpAt;   // When its client needs an answer no more.
 
     friend bool operator==(const Waiter &, const Waiter &) = default;
 };
 
 // The requests that wait for one service. Those that can still be on time go first, by
-// priority and arrival; the others follow in the same order. While some are late, the newest of
-// those on time goes first. Answers the load pattern of a burst over capacity or of an outage: in
+// priority and arrival; the others follow by priority and deadline, so that a client who has come
+// back, and won't once more, goes before one who can. While some are late, the newest of those on
+// time goes first. Answers the load pattern of a burst over capacity or of an outage: in
 // plain order of arrival one backlog makes every later request late.
 class WaitingLine
 {
@@ -47,13 +49,14 @@
     struct Order
     {
         std::uint32_t m_priority = 0;
-        TimePoint m_arrivedAt;
+        TimePoint m_at;
         WaiterId m_id = 0;
 
         friend auto operator<=>(const Order &, const Order &) = default;
     };
 
-    static Order orderOf(const Waiter &waiter);
+    static Order orderOnTime(const Waiter &waiter);
+    static Order orderLate(const Waiter &waiter);
     void moveLate(TimePoint now);
 
     std::map<WaiterId, Waiter> m_waiters;
--- a/tests/internal/gateway/test_waitingline.cpp
+++ b/tests/internal/gateway/test_waitingline.cpp
@@ -12,7 +12,8 @@
 
 Waiter waiter(WaiterId id, unsigned priority, Milliseconds arrival, Milliseconds objective)
 {
-    return {id, priority, start + arrival, start + arrival + objective};
+    const TimePoint arrivedAt = start + arrival;
+    return {id, priority, arrivedAt, arrivedAt + objective, arrivedAt + Seconds(8)};
 }
 
 // A burst of twice the capacity for two seconds, then less than the capacity: how many start
@@ -134,6 +135,20 @@
     BOOST_TEST(ours > 2 * oldestOnTime, ours << " in time, oldest first " << oldestOnTime);
 }
 
+// The load pattern after an outage: those who were refused in it come back, for the last time.
+BOOST_AUTO_TEST_CASE(of_the_late_the_one_whose_deadline_is_nearer_goes_first)
+{
+    WaitingLine line;
+    Waiter first = waiter(1, 1, Milliseconds(0), Milliseconds(100));
+    Waiter cameBack = waiter(2, 1, Milliseconds(50), Milliseconds(-2000));
+    cameBack.m_givesUpAt = first.m_givesUpAt - Seconds(2);
+    line.push(first);
+    line.push(cameBack);
+    const TimePoint now = start + Milliseconds(200);
+    BOOST_TEST(line.pop(now)->m_id == 2U);
+    BOOST_TEST(line.pop(now)->m_id == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(with_a_backlog_the_urgent_still_go_before_the_newest)
 {
     WaitingLine line;
