Hold the group by way of a gateway

Change: the coordinator gives this one order by way of a gateway named by the settings' seeds (OrderRelay, RelayChoice). A gateway's VM has no rank. Whether the group is held is read at the engine as before, so an order that the gateway left unanswered does no harm; without a gateway the order is given as before. AgentCall is ShortCall now and lies with the network code, since both kinds of process use it.

Tests of running agents: a gateway that freezes with the order, and gateways that don't answer; without the change the first has no map within nine seconds.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include <burdockhead/gateway/callrouter.h>
 #include <burdockhead/gateway/gatewayprocess.h>
+#include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
 #include <burdockhead/gateway/storefollower.h>
 #include <burdockhead/observe/log.h>
@@ -87,6 +88,8 @@
     HttpListener m_readiness;
     HttpListener m_directory;
     HttpListener m_metricsPort;
+    OrderRelay m_orderRelay;
+    HttpListener m_orders;                 // Beside the peers' messages, which are datagrams.
     TimePoint m_stopBy = TimePoint::max(); // Set from SIGTERM on.
 };
 
@@ -120,6 +123,8 @@
     , m_readiness(m_loop, [this](const auto &exchange) { answerReadiness(*exchange); })
     , m_directory(m_loop, [this](const auto &exchange) { answerAddresses(*exchange); })
     , m_metricsPort(m_loop, [this](const auto &exchange) { answerMetrics(*exchange); })
+    , m_orderRelay(m_loop, m_endpointClient, m_endpoints, m_lines)
+    , m_orders(m_loop, [this](const auto &exchange) { m_orderRelay.handle(exchange); })
 {}
 
 StoreFollowerParts GatewayProcess::followerParts()
@@ -147,6 +152,7 @@
         || !m_readiness.start(m_settings.m_readiness, error)
         || !m_directory.start(m_settings.m_directory, error)
         || !m_metricsPort.start(m_settings.m_metrics, error)
+        || !m_orders.start(m_settings.m_peers, error)
         || !m_peerLink.start(m_settings.m_peers, error))
         return false;
     m_configurationFollower.start();
--- /dev/null
+++ b/src/burdockhead/gateway/orderrelay.cpp
@@ -0,0 +1,54 @@
+#include <burdockhead/gateway/orderrelay.h>
+#include <burdockhead/http/httprequest.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace burdockhead {
+
+namespace {
+
+// How long the engine may take to answer; somewhat less than the coordinator waits.
+constexpr Milliseconds engineTimeout{45};
+constexpr int statusUnknown = 404;
+constexpr int statusNoAnswer = 504;
+
+} // namespace
+
+OrderRelay::OrderRelay(EventLoop &loop, HttpClientPool &client, const EndpointTable &endpoints,
+                       LineSink &lines)
+    : m_loop(loop)
+    , m_client(client)
+    , m_endpoints(endpoints)
+    , m_lines(lines)
+{}
+
+bool OrderRelay::isKnown(const std::string &address) const
+{
+    const auto &endpoints = m_endpoints.endpoints();
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &item) {
+        return item.second->m_entry.m_address.toString() == address;
+    });
+}
+
+void OrderRelay::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    std::erase_if(m_calls, [](const auto &call) { return call->isDone(); });
+    const HttpHead &request = exchange->head();
+    const std::string to = findHeader(request.m_headers, relayToHeader).value_or("");
+    const auto address = SocketAddress::parse(to);
+    if (!request.m_target.starts_with(relayPrefix) || !address || !isKnown(to)) {
+        m_lines.add("relay_refused", {{"target", request.m_target}, {"to", to}});
+        exchange->answer(statusUnknown, {}, "");
+        return;
+    }
+    const std::string target = request.m_target.substr(std::string_view(relayPrefix).size());
+    m_calls.push_back(std::make_unique<ShortCall>(
+        m_loop, m_client, *address, "POST", target, exchange->body(), Clock::now() + engineTimeout,
+        [this, exchange, to](ShortCall &call) {
+            m_lines.add("order_relayed", {{"to", to}, {"status", std::to_string(call.status())}});
+            exchange->answer(call.status() == 0 ? statusNoAnswer : call.status(), {}, "");
+        }));
+}
+
+} // namespace burdockhead
--- a/src/burdockhead/rankagent/agentcall.cpp
+++ b/src/burdockhead/net/shortcall.cpp
@@ -1,5 +1,5 @@
 #include <burdockhead/net/httpwriting.h>
-#include <burdockhead/rankagent/agentcall.h>
+#include <burdockhead/net/shortcall.h>
 
 namespace burdockhead {
 
@@ -25,19 +25,20 @@
 
 } // namespace
 
-AgentCall::AgentCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
+ShortCall::ShortCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
                      const std::string &method, const std::string &target, const std::string &body,
-                     TimePoint deadline, Done done)
+                     TimePoint deadline, Done done, const HttpHeaders &headers)
     : m_loop(loop)
     , m_address(address)
     , m_done(std::move(done))
 {
-    HttpHeaders headers = {{"Host", address.toString()}};
+    HttpHeaders all = {{"Host", address.toString()}};
+    all.insert(all.end(), headers.begin(), headers.end());
     if (!body.empty()) {
-        headers.push_back({"Content-Type", "application/json"});
-        headers.push_back({"Content-Length", std::to_string(body.size())});
+        all.push_back({"Content-Type", "application/json"});
+        all.push_back({"Content-Length", std::to_string(body.size())});
     }
-    m_call = client.call(address, requestHead(method, target, headers) + body,
+    m_call = client.call(address, requestHead(method, target, all) + body,
                          {deadline, maxIdle, false}, *this);
     m_timer = loop.callAt(deadline, [this] {
         m_timer = 0;
@@ -47,12 +48,12 @@
     });
 }
 
-AgentCall::~AgentCall()
+ShortCall::~ShortCall()
 {
     m_loop.cancel(m_timer);
 }
 
-void AgentCall::callEnded(CallEnd end)
+void ShortCall::callEnded(CallEnd end)
 {
     if (end != CallEnd::Complete)
         m_status = 0;
@@ -60,7 +61,7 @@
     finish();
 }
 
-void AgentCall::finish()
+void ShortCall::finish()
 {
     m_call.reset();
     m_loop.cancel(m_timer);
--- a/src/burdockhead/rankagent/agentcall.h
+++ b/src/burdockhead/net/shortcall.h
@@ -7,19 +7,19 @@
 
 namespace burdockhead {
 
-// One request of an agent with a short answer.
-class AgentCall : private HttpCallObserver
+// One request between processes of the fleet, or to an engine, with a short answer.
+class ShortCall : private HttpCallObserver
 {
 public:
-    using Done = std::function<void(AgentCall &)>;
+    using Done = std::function<void(ShortCall &)>;
 
     // Sends the request; `done` is called once, unless the call is destroyed before.
-    AgentCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
+    ShortCall(EventLoop &loop, HttpClientPool &client, const SocketAddress &address,
               const std::string &method, const std::string &target, const std::string &body,
-              TimePoint deadline, Done done);
-    ~AgentCall();
-    AgentCall(const AgentCall &) = delete;
-    AgentCall &operator=(const AgentCall &) = delete;
+              TimePoint deadline, Done done, const HttpHeaders &headers = {});
+    ~ShortCall();
+    ShortCall(const ShortCall &) = delete;
+    ShortCall &operator=(const ShortCall &) = delete;
 
     const SocketAddress &address() const { return m_address; }
 
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -1,8 +1,8 @@
 #include <burdockhead/gateway/storefollower.h>
 #include <burdockhead/net/httplistener.h>
+#include <burdockhead/net/shortcall.h>
 #include <burdockhead/observe/log.h>
 #include <burdockhead/process/processstart.h>
-#include <burdockhead/rankagent/agentcall.h>
 #include <burdockhead/rankagent/countdifference.h>
 #include <burdockhead/rankagent/deputies.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
@@ -55,7 +55,7 @@
     void run() { m_loop.run(); }
 
 private:
-    using Answered = std::function<void(const AgentCall &)>;
+    using Answered = std::function<void(const ShortCall &)>;
 
     StoreFollowerParts followerParts();
     void handle(const std::shared_ptr<HttpExchange> &exchange);
@@ -88,7 +88,7 @@
     StoreFollower m_configurationFollower;
     StoreFollower m_endpointFollower;
     HttpListener m_listener;
-    std::vector<std::unique_ptr<AgentCall>> m_calls;
+    std::vector<std::unique_ptr<ShortCall>> m_calls;
     std::map<EndpointName, EndpointEntry> m_endpoints; // Of the own service.
     std::optional<RankView> m_view;
     ExpertCounts m_counts;
@@ -109,8 +109,9 @@
     , m_engineClient(m_loop)
     , m_agentClient(m_loop)
     , m_storeClient(m_loop)
-    , m_coordinator({m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics},
-                    Random(systemSeed()))
+    , m_coordinator(
+          {m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics, settings.m_gateways},
+          Random(systemSeed()))
     , m_configurationFollower(
           followerParts(), StoreKind::Configuration,
           {[this](const auto &configurations) { takeShape(configurations); }, [](const auto &) {}},
@@ -150,15 +151,15 @@
                                  const std::string &body, Milliseconds timeout, Answered answered)
 {
     std::erase_if(m_calls, [](const auto &call) { return call->isDone(); });
-    m_calls.push_back(std::make_unique<AgentCall>(
+    m_calls.push_back(std::make_unique<ShortCall>(
         m_loop, m_engineClient, m_settings.m_endpoint, method, target, body, Clock::now() + timeout,
-        [answered = std::move(answered)](AgentCall &call) { answered(call); }));
+        [answered = std::move(answered)](ShortCall &call) { answered(call); }));
 }
 
 void RankAgentProcess::readView(std::function<void()> then)
 {
     askEngine("GET", m_dialects.m_engine.viewTarget(), "", engineTimeout,
-              [this, then = std::move(then)](const AgentCall &call) {
+              [this, then = std::move(then)](const ShortCall &call) {
                   m_view = call.status() == statusOk ? m_dialects.m_engine.readView(call.body())
                                                      : std::optional<RankView>();
                   then();
@@ -168,7 +169,7 @@
 void RankAgentProcess::readCounts(std::function<void()> then)
 {
     askEngine("GET", m_dialects.m_engine.countsTarget(), "", engineTimeout,
-              [this, then = std::move(then)](const AgentCall &call) {
+              [this, then = std::move(then)](const ShortCall &call) {
                   m_counts = {};
                   const auto counts = call.status() == statusOk
                                           ? m_dialects.m_engine.readCounts(call.body())
@@ -187,7 +188,7 @@
         return;
     }
     askEngine("GET", m_dialects.m_engine.expertsTarget(), "", engineTimeout,
-              [this, then = std::move(then)](const AgentCall &call) {
+              [this, then = std::move(then)](const ShortCall &call) {
                   if (call.status() == statusOk)
                       m_experts = m_dialects.m_engine.readExperts(call.body()).value_or(m_experts);
                   then();
@@ -254,7 +255,7 @@
         m_coordinator.noteMap(*message->m_map);
     const ExpertMap *map = message->m_map ? &*message->m_map : nullptr;
     giveOrder(m_dialects.m_engine.writeOrder(message->m_order, map, message->m_ranks), timesGiven,
-              [exchange](const AgentCall &call) {
+              [exchange](const ShortCall &call) {
                   exchange->answer(call.status() == 0 ? statusNoAnswer : call.status(), {}, "");
               });
 }
@@ -262,7 +263,7 @@
 void RankAgentProcess::giveOrder(const std::string &body, unsigned times, Answered answered)
 {
     askEngine("POST", m_dialects.m_engine.orderTarget(), body, orderTimeout,
-              [this, body, times, answered = std::move(answered)](const AgentCall &call) {
+              [this, body, times, answered = std::move(answered)](const ShortCall &call) {
                   if (call.status() == 0 && times > 1)
                       giveOrder(body, times - 1, answered);
                   else
@@ -278,9 +279,9 @@
         RankOrderMessage forwarded = message;
         forwarded.m_order.m_rank = rank.m_rank;
         forwarded.m_forwardTo.clear();
-        m_calls.push_back(std::make_unique<AgentCall>(
+        m_calls.push_back(std::make_unique<ShortCall>(
             m_loop, m_agentClient, rank.m_agent, "POST", rankOrderTarget, writeRankOrder(forwarded),
-            Clock::now() + forwardTimeout, [](AgentCall &) {}));
+            Clock::now() + forwardTimeout, [](ShortCall &) {}));
     }
 }
 
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -1,6 +1,7 @@
+#include <burdockhead/gateway/orderrelay.h>
+#include <burdockhead/net/shortcall.h>
 #include <burdockhead/observe/wallclock.h>
 #include <burdockhead/process/processstart.h>
-#include <burdockhead/rankagent/agentcall.h>
 #include <burdockhead/rankagent/deputies.h>
 #include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
@@ -51,6 +52,9 @@
 constexpr Milliseconds orderTimeout{120};
 // The same for an order to an engine itself.
 constexpr Milliseconds directOrderTimeout{50};
+// The same by way of a gateway, and what one answers that doesn't know the engine yet.
+constexpr Milliseconds relayTimeout{60};
+constexpr int statusUnknownThere = 404;
 // The same for an order with a map over a slow link.
 constexpr Milliseconds mapTimeout{300};
 // Orders to load are given again after this; loading takes up to about a second.
@@ -82,6 +86,7 @@
 RankCoordinator::RankCoordinator(const CoordinatorParts &parts, Random seed)
     : m_parts(parts)
     , m_random(seed)
+    , m_relays(parts.m_gateways)
 {}
 
 RankCoordinator::~RankCoordinator()
@@ -169,9 +174,9 @@
 {
     const std::string target = std::string(hasCounts ? rankCountsTarget : rankStatusTarget)
                                + askedByQuery + std::to_string(m_ownRank);
-    m_asking.push_back(std::make_unique<AgentCall>(
+    m_asking.push_back(std::make_unique<ShortCall>(
         m_parts.m_loop, m_parts.m_client, access.m_agent, "GET", target, "",
-        Clock::now() + statusTimeout, [this, access](AgentCall &call) { answered(access, call); }));
+        Clock::now() + statusTimeout, [this, access](ShortCall &call) { answered(access, call); }));
 }
 
 void RankCoordinator::askEngine(const RankAccess &access)
@@ -181,10 +186,10 @@
         oneLessUnanswered();
         return;
     }
-    m_asking.push_back(std::make_unique<AgentCall>(
+    m_asking.push_back(std::make_unique<ShortCall>(
         m_parts.m_loop, m_parts.m_client, access.m_engine, "GET", m_parts.m_dialect.viewTarget(),
         "", Clock::now() + statusTimeout,
-        [this, access](AgentCall &call) { engineAnswered(access, call); }));
+        [this, access](ShortCall &call) { engineAnswered(access, call); }));
 }
 
 // Those that answered in the last full round.
@@ -211,7 +216,7 @@
     return m_countSample.choose(knownRanks(), most, Clock::now());
 }
 
-void RankCoordinator::answered(const RankAccess &access, const AgentCall &call)
+void RankCoordinator::answered(const RankAccess &access, const ShortCall &call)
 {
     const auto status =
         call.status() == statusOk ? readRankStatus(call.body()) : std::optional<RankStatus>();
@@ -237,7 +242,7 @@
     oneLessUnanswered();
 }
 
-void RankCoordinator::engineAnswered(const RankAccess &access, const AgentCall &call)
+void RankCoordinator::engineAnswered(const RankAccess &access, const ShortCall &call)
 {
     const auto view = call.status() == statusOk ? m_parts.m_dialect.readView(call.body())
                                                 : std::optional<RankView>();
@@ -250,7 +255,7 @@
     oneLessUnanswered();
 }
 
-void RankCoordinator::noteSilent(const SocketAddress &address, const AgentCall &call)
+void RankCoordinator::noteSilent(const SocketAddress &address, const ShortCall &call)
 {
     m_silentUntil[address] = Clock::now() + silencePause;
     m_parts.m_lines.add("rank_silent", {{"address", address.toString()},
@@ -542,20 +547,45 @@
 
 void RankCoordinator::give(const RankOrderMessage &message, TimePoint deadline)
 {
+    if (giveByRelay(message))
+        return;
     const RankOrder order = message.m_order;
     const RankAccess &access = m_rankAccess.at(order.m_rank);
     const ExpertMap *map = message.m_map ? &*message.m_map : nullptr;
     const bool isDirect = this->isDirect(order);
     if (isDirect && map == nullptr)
         deadline = std::min(deadline, Clock::now() + directOrderTimeout);
-    m_ordering.push_back(std::make_unique<AgentCall>(
+    m_ordering.push_back(std::make_unique<ShortCall>(
         m_parts.m_loop, m_parts.m_client, isDirect ? access.m_engine : access.m_agent, "POST",
         isDirect ? m_parts.m_dialect.orderTarget() : rankOrderTarget,
         isDirect ? m_parts.m_dialect.writeOrder(order, map, message.m_ranks)
                  : writeRankOrder(message),
-        deadline, [this, order](AgentCall &call) { orderAnswered(order, call.status()); }));
+        deadline, [this, order](ShortCall &call) { orderAnswered(order, call.status()); }));
+    if (m_awaitsOrders)
+        ++m_awaitedOrders;
+}
+
+// Has a gateway hold the group, since its VM runs no rank. False when that must be done from here.
+bool RankCoordinator::giveByRelay(const RankOrderMessage &message)
+{
+    const RankOrder order = message.m_order;
+    const auto relay = order.m_type == RankOrderType::Hold ? m_relays.choose(Clock::now())
+                                                           : std::optional<SocketAddress>();
+    if (!relay)
+        return false;
+    m_ordering.push_back(std::make_unique<ShortCall>(
+        m_parts.m_loop, m_parts.m_client, *relay, "POST",
+        relayPrefix + m_parts.m_dialect.orderTarget(),
+        m_parts.m_dialect.writeOrder(order, nullptr, message.m_ranks), Clock::now() + relayTimeout,
+        [this, order, relay](ShortCall &call) {
+            if (call.status() == 0 || call.status() == statusUnknownThere)
+                m_relays.noteFailure(*relay, Clock::now());
+            orderAnswered(order, call.status());
+        },
+        HttpHeaders{{relayToHeader, m_rankAccess.at(order.m_rank).m_engine.toString()}}));
     if (m_awaitsOrders)
         ++m_awaitedOrders;
+    return true;
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -10,6 +10,7 @@
 #include <burdockhead/rankagent/expertdemand.h>
 #include <burdockhead/rankagent/maprollout.h>
 #include <burdockhead/rankagent/rankmessages.h>
+#include <burdockhead/rankagent/relaychoice.h>
 
 #include <map>
 #include <memory>
@@ -18,7 +19,7 @@
 
 namespace burdockhead {
 
-class AgentCall;
+class ShortCall;
 
 // What the coordinator of a group uses.
 struct CoordinatorParts
@@ -28,6 +29,7 @@
     const EngineDialect &m_dialect;
     LineSink &m_lines;
     Metrics &m_metrics;
+    std::vector<SocketAddress> m_gateways; // Some that pass orders on.
 };
 
 // Where a rank is asked and told things: by its agent, or at its engine while the agent is
@@ -72,9 +74,9 @@
     void startRound();
     void ask(const RankAccess &access, bool hasCounts);
     void askEngine(const RankAccess &access);
-    void answered(const RankAccess &access, const AgentCall &call);
-    void engineAnswered(const RankAccess &access, const AgentCall &call);
-    void noteSilent(const SocketAddress &address, const AgentCall &call);
+    void answered(const RankAccess &access, const ShortCall &call);
+    void engineAnswered(const RankAccess &access, const ShortCall &call);
+    void noteSilent(const SocketAddress &address, const ShortCall &call);
     void oneLessUnanswered();
     void endRound();
     std::vector<RankView> views() const;
@@ -89,6 +91,7 @@
     void makePlan(const std::vector<RankView> &views, bool isForced);
     void give(const std::vector<RankOrder> &orders);
     void give(const RankOrderMessage &message, TimePoint deadline);
+    bool giveByRelay(const RankOrderMessage &message);
     static bool canAwait(const RolloutStep &step);
     void orderAnswered(const RankOrder &order, int status);
     bool hasFirstOrItIsSilent() const;
@@ -106,14 +109,15 @@
     std::optional<ExpertDemand> m_demand;
     CountSample m_countSample;
     MapRollout m_rollout;
+    RelayChoice m_relays;
     std::optional<Plan> m_plan;
     std::map<std::uint32_t, RankStatus> m_ranks;      // Of the last full round.
     std::map<std::uint32_t, RankAccess> m_rankAccess; // Of the last full round.
     std::uint64_t m_viewsFrom = 0; // When the last full round began, as bootMilliseconds().
     bool m_isFullRound = true;     // All ranks are asked, not only those whose counts are read.
     TimePoint m_nextFullRoundAt;
-    std::vector<std::unique_ptr<AgentCall>> m_asking;
-    std::vector<std::unique_ptr<AgentCall>> m_ordering;
+    std::vector<std::unique_ptr<ShortCall>> m_asking;
+    std::vector<std::unique_ptr<ShortCall>> m_ordering;
     std::map<std::uint32_t, TimePoint> m_prepareAgainAt;
     std::size_t m_unanswered = 0;
     TimerId m_timer = 0;
--- a/src/burdockhead/settings/processsettings.h
+++ b/src/burdockhead/settings/processsettings.h
@@ -88,6 +88,7 @@
     SocketAddress m_endpoint; // The rank on this machine.
     GroupName m_service;
     SocketAddress m_store;
+    std::vector<SocketAddress> m_gateways; // Some that pass orders on.
 
     friend bool operator==(const RankAgentSettings &, const RankAgentSettings &) = default;
 };
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -238,7 +238,11 @@
          {bindKey<S>("address", &S::m_endpoint, allowedAddress, "The rank on this VM").required(),
           bindKey<S>("service", &S::m_service, allowedName, "The service that it belongs to")
               .required()}},
-        storeSection<S>()};
+        storeSection<S>(),
+        {"seeds",
+         false,
+         {bindKey<S>("gateways", &S::m_gateways, allowedAddressList,
+                     "Where gateways meet their peers; they pass orders on")}}};
     return bindings;
 }
 
--- /dev/null
+++ b/tests/internal/rankagent/test_relaychoice.cpp
@@ -0,0 +1,37 @@
+#include <burdockhead/rankagent/relaychoice.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockhead;
+
+namespace {
+
+const SocketAddress first{"10.0.0.1", 8229};
+const SocketAddress second{"10.0.0.2", 8229};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Relays)
+
+// The load pattern of a gateway that freezes for some seconds with an order to hold the group.
+BOOST_AUTO_TEST_CASE(a_gateway_that_did_not_answer_is_passed_over_for_some_seconds)
+{
+    RelayChoice relays({first, second});
+    const TimePoint now = Clock::now();
+    BOOST_TEST((relays.choose(now) == first));
+    relays.noteFailure(first, now);
+    BOOST_TEST((relays.choose(now + Seconds(4)) == second));
+    BOOST_TEST((relays.choose(now + Seconds(6)) == first));
+}
+
+BOOST_AUTO_TEST_CASE(there_is_none_when_all_have_failed)
+{
+    RelayChoice relays({first, second});
+    const TimePoint now = Clock::now();
+    relays.noteFailure(first, now);
+    relays.noteFailure(second, now);
+    BOOST_TEST(!relays.choose(now).has_value());
+    BOOST_TEST(!RelayChoice({}).choose(now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/rankagent/test_rankagentprocess.cpp
+++ b/tests/public/rankagent/test_rankagentprocess.cpp
@@ -3,6 +3,9 @@
 #include "groupstandin.h"
 #include "loopback.h"
 #include "storestandin.h"
+#include <burdockhead/gateway/orderrelay.h>
+#include <burdockhead/http/httprequest.h>
+#include <burdockhead/net/shortcall.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -28,6 +31,44 @@
     return hosts;
 }
 
+// A gateway as agents see it: it passes orders on until its VM freezes, right after one that holds
+// the group.
+class FreezingGateway
+{
+public:
+    explicit FreezingGateway(EventLoop &loop)
+        : m_loop(loop)
+        , m_client(loop)
+        , m_listener(loop, [this](const auto &exchange) { handle(exchange); })
+    {
+        std::string error;
+        BOOST_REQUIRE(m_listener.start(m_address, error));
+    }
+
+    const SocketAddress &address() const { return m_address; }
+    std::size_t held() const { return m_held; }
+
+private:
+    void handle(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        if (m_held > 0)
+            return;
+        const HttpHead &request = exchange->head();
+        const auto to = SocketAddress::parse(findHeader(request.m_headers, relayToHeader).value());
+        const std::string target = request.m_target.substr(std::string(relayPrefix).size());
+        m_call = std::make_unique<ShortCall>(m_loop, m_client, *to, "POST", target,
+                                             exchange->body(), Clock::now() + Seconds(1),
+                                             [this](ShortCall &) { ++m_held; });
+    }
+
+    EventLoop &m_loop;
+    HttpClientPool m_client;
+    const SocketAddress m_address = freeLoopbackAddress();
+    HttpListener m_listener;
+    std::unique_ptr<ShortCall> m_call;
+    std::size_t m_held = 0;
+};
+
 // Running agents beside the ranks of a group, and a store.
 class GroupWorld
 {
@@ -60,7 +101,8 @@
                         + GroupStandIn::service() + R"(],"tenants":[]})");
     }
 
-    void startAgents()
+    // Agents know these gateways, as HOST:PORT with commas between.
+    void startAgents(const std::string &gateways = "")
     {
         for (std::size_t rank = 0; rank < ranks; ++rank) {
             const std::string name = "agent-" + std::to_string(rank);
@@ -69,7 +111,8 @@
             std::ofstream(settings)
                 << "[process]\nname = " << name << "\ndata_centre = a\n[listen]\nagents = " << host
                 << ":" << m_agentPort << "\n[endpoint]\naddress = " << m_group.address(rank)
-                << "\nservice = llm\n[store]\naddress = " << m_store.address().toString() << "\n";
+                << "\nservice = llm\n[store]\naddress = " << m_store.address().toString() << "\n"
+                << (gateways.empty() ? "" : "[seeds]\ngateways = " + gateways + "\n");
             m_agents.push_back(std::make_unique<ChildProcess>(
                 std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead",
                                          "rank-agent", "--settings=" + settings},
@@ -133,6 +176,26 @@
     BOOST_TEST((*world.m_group.longestRepetition() < soon));
 }
 
+// The load pattern of a VM that freezes with the order to hold the group: beside a rank it would
+// stop the change until it is back.
+BOOST_AUTO_TEST_CASE(a_change_ends_though_the_gateway_that_held_the_group_has_frozen)
+{
+    GroupWorld world;
+    FreezingGateway gateway(world.m_loop);
+    world.startAgents(gateway.address().toString());
+    BOOST_TEST(world.within(Seconds(9), [&] { return world.m_group.hasNewMap(); }));
+    BOOST_TEST(gateway.held() == 1U);
+    BOOST_TEST(world.within(Seconds(1), [&] { return !world.m_group.isHeld(); }));
+    BOOST_TEST(!world.m_group.hasSplit());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_gateway_that_answers_the_coordinator_holds_the_group_itself)
+{
+    GroupWorld world;
+    world.startAgents(freeLoopbackAddress().toString() + "," + freeLoopbackAddress().toString());
+    BOOST_TEST(world.within(Seconds(9), [&] { return world.m_group.hasNewMap(); }));
+}
+
 // The load pattern of large configurations in quick succession, which fill the slow links of the
 // agents' VMs, so that ranks seem silent.
 BOOST_AUTO_TEST_CASE(agents_do_not_read_each_configuration)
