Lengthen the pauses of watches while changes go on

Change: WatchSchedule doubles the pause up to 900 ms while changes go on, and takes the longest after changes that were no news.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -50,10 +50,10 @@
 private:
     StoreFollowerParts followerParts();
     PeerRecord ownRecord() const;
-    void takeConfiguration(const std::vector<StoreChange> &changes);
-    void takeEndpoints(const std::vector<StoreChange> &changes);
+    bool takeConfiguration(const std::vector<StoreChange> &changes);
+    bool takeEndpoints(const std::vector<StoreChange> &changes);
     void listEndpoints(const std::vector<StoreChange> &changes);
-    void takeDataCentres(const std::vector<StoreChange> &changes);
+    bool takeDataCentres(const std::vector<StoreChange> &changes);
     void listDataCentres(const std::vector<StoreChange> &changes);
     void setDataCentreOut(const std::string &name, bool isOut);
     void updateReadiness();
@@ -109,15 +109,15 @@
                Random(systemSeed()))
     , m_configurationFollower(followerParts(), StoreKind::Configuration,
                               {[this](const auto &changes) { takeConfiguration(changes); },
-                               [this](const auto &changes) { takeConfiguration(changes); }},
+                               [this](const auto &changes) { return takeConfiguration(changes); }},
                               Random(systemSeed()))
     , m_endpointFollower(followerParts(), StoreKind::Endpoints,
                          {[this](const auto &changes) { listEndpoints(changes); },
-                          [this](const auto &changes) { takeEndpoints(changes); }},
+                          [this](const auto &changes) { return takeEndpoints(changes); }},
                          Random(systemSeed()))
     , m_dataCentreFollower(followerParts(), StoreKind::DataCentresOut,
                            {[this](const auto &changes) { listDataCentres(changes); },
-                            [this](const auto &changes) { takeDataCentres(changes); }},
+                            [this](const auto &changes) { return takeDataCentres(changes); }},
                            Random(systemSeed()))
     , m_clients(m_loop, [this](const auto &exchange) { m_router.handle(exchange); })
     , m_readiness(m_loop, [this](const auto &exchange) { answerReadiness(*exchange); })
@@ -166,7 +166,7 @@
     return true;
 }
 
-void GatewayProcess::takeConfiguration(const std::vector<StoreChange> &changes)
+bool GatewayProcess::takeConfiguration(const std::vector<StoreChange> &changes)
 {
     for (const StoreChange &change : changes) {
         if (const auto *bad = std::get_if<UnusableObject>(&change.m_value)) {
@@ -186,11 +186,13 @@
                      {"routes", std::to_string((*configuration)->routes().size())}});
     }
     updateReadiness();
+    return true;
 }
 
-void GatewayProcess::takeEndpoints(const std::vector<StoreChange> &changes)
+bool GatewayProcess::takeEndpoints(const std::vector<StoreChange> &changes)
 {
     const TimePoint now = Clock::now();
+    bool hasNews = false;
     for (const StoreChange &change : changes) {
         if (const auto *bad = std::get_if<UnusableObject>(&change.m_value)) {
             m_lines.add("endpoint_unusable", {{"name", change.m_name}, {"reason", bad->m_reason}});
@@ -204,9 +206,11 @@
                 m_settings.m_bounds.m_leaveTime * leavePartNumerator / leavePartDenominator;
             m_endpoints.remove(EndpointName(change.m_name), now + usable);
             m_lines.add("endpoint_gone", {{"endpoint", change.m_name}});
+            hasNews = true;
             continue;
         }
         const auto before = m_endpoints.find(entry->m_name);
+        hasNews |= !before || before->m_entry != *entry;
         const bool wasLeaving = before && before->m_entry.m_isLeaving;
         const bool isNew = m_endpoints.update(*entry);
         if (isNew || wasLeaving != entry->m_isLeaving)
@@ -218,6 +222,7 @@
     }
     updateReadiness();
     m_router.refresh();
+    return hasNews;
 }
 
 // What the list doesn't name is gone.
@@ -243,11 +248,12 @@
     m_lines.add(isOut ? "data_centre_out" : "data_centre_back", {{"data_centre", name}});
 }
 
-void GatewayProcess::takeDataCentres(const std::vector<StoreChange> &changes)
+bool GatewayProcess::takeDataCentres(const std::vector<StoreChange> &changes)
 {
     for (const StoreChange &change : changes)
         setDataCentreOut(change.m_name, !change.m_isRemoved);
     m_router.refresh();
+    return true;
 }
 
 void GatewayProcess::listDataCentres(const std::vector<StoreChange> &changes)
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -9,8 +9,6 @@
 
 // How much longer than a watch its answer may take.
 constexpr Milliseconds watchMargin{700};
-// Between a change and the next watch: changes come in bursts, and one call takes several.
-constexpr Milliseconds burstPause{300};
 // How long a list may take; the store answers in milliseconds, at worst some hundred.
 constexpr Milliseconds listTimeout{1500};
 constexpr Milliseconds connectTimeout{500};
@@ -182,8 +180,10 @@
     }
     for (const StoreChange &change : page->m_changes)
         m_schedule.noteSeen(change.m_revision);
-    m_handlers.m_changed(page->m_changes);
-    m_timer = m_parts.m_loop.callAt(Clock::now() + burstPause, [this] {
+    const bool hasNews = m_handlers.m_changed(page->m_changes);
+    m_call.reset();
+    const TimePoint now = Clock::now();
+    m_timer = m_parts.m_loop.callAt(now + m_schedule.pauseAfterChanges(hasNews, now), [this] {
         m_timer = 0;
         ask();
     });
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -37,8 +37,8 @@
     {
         // The whole collection as it is now.
         std::function<void(const std::vector<StoreChange> &)> m_listed;
-        // Changes in their order.
-        std::function<void(const std::vector<StoreChange> &)> m_changed;
+        // Changes in their order; returns whether any was news to this process.
+        std::function<bool(const std::vector<StoreChange> &)> m_changed;
     };
 
     StoreFollower(const StoreFollowerParts &parts, StoreKind kind, Handlers handlers, Random seed);
--- a/src/burdockhead/gateway/watchschedule.cpp
+++ b/src/burdockhead/gateway/watchschedule.cpp
@@ -17,6 +17,13 @@
 // within milliseconds, or after the pause that follows the last change.
 constexpr Milliseconds behindTime{500};
 
+// Pauses after changes: the first, and the longest, which leaves as much again of the two seconds
+// within which a configuration has to be in force and a leaving endpoint may get requests.
+constexpr Milliseconds firstPause{300};
+constexpr Milliseconds longestPause{900};
+// Without a change for this long the next one is the first again.
+constexpr Milliseconds burstEndsAfter{2000};
+
 } // namespace
 
 Milliseconds WatchSchedule::nextWatchTime(std::size_t fleet)
@@ -28,6 +35,16 @@
                m_random() % static_cast<std::uint64_t>((longest - shortestWatch).count())));
 }
 
+Milliseconds WatchSchedule::pauseAfterChanges(bool hasNews, TimePoint now)
+{
+    const bool isFirst = m_pause.count() == 0 || now > m_changedAt + burstEndsAfter;
+    m_pause = isFirst ? firstPause : std::min(2 * m_pause, longestPause);
+    if (!hasNews)
+        m_pause = longestPause;
+    m_changedAt = now;
+    return m_pause;
+}
+
 void WatchSchedule::noteSeen(std::uint64_t revision)
 {
     m_newest = std::max(m_newest, revision);
--- a/src/burdockhead/gateway/watchschedule.h
+++ b/src/burdockhead/gateway/watchschedule.h
@@ -11,7 +11,8 @@
 // that is paid for, and a connection to the store may go silent without a reset. So the watches
 // of a fleet are long and end at different moments: one of them soon notices what the silent
 // ones miss, and by gossip all hear of the change and ask anew. Answers the load pattern of a
-// large fleet whose calls to the store grow with its size.
+// large fleet whose calls to the store grow with its size, and of engines that register one after
+// the other for seconds.
 class WatchSchedule
 {
 public:
@@ -22,6 +23,10 @@
     // How long the next watch may wait, in a fleet of so many gateways that hear of each other.
     Milliseconds nextWatchTime(std::size_t fleet);
 
+    // The pause between changes and the next watch, so that one call takes several: longer while
+    // they go on, and after changes that were no news to this process.
+    Milliseconds pauseAfterChanges(bool hasNews, TimePoint now);
+
     // Notes a change that this process has taken, by the store's revision of it.
     void noteSeen(std::uint64_t revision);
     std::uint64_t newest() const { return m_newest; }
@@ -33,6 +38,8 @@
 private:
     Random m_random;
     std::uint64_t m_newest = 0;
+    TimePoint m_changedAt = TimePoint::min();
+    Milliseconds m_pause{0};
     TimePoint m_behindSince = TimePoint::max();
 };
 
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -71,7 +71,7 @@
     void look();
     void coordinate();
     void noteCoordinator(const std::string &rank);
-    void takeEndpoints(const std::vector<StoreChange> &changes, bool isList);
+    bool takeEndpoints(const std::vector<StoreChange> &changes, bool isList);
     void takeShape(const std::vector<StoreChange> &configurations);
     void writeLines();
 
@@ -112,13 +112,13 @@
     , m_coordinator(
           {m_loop, m_agentClient, dialects.m_engine, m_lines, m_metrics, settings.m_gateways},
           Random(systemSeed()))
-    , m_configurationFollower(
-          followerParts(), StoreKind::Configuration,
-          {[this](const auto &configurations) { takeShape(configurations); }, [](const auto &) {}},
-          Random(systemSeed()))
+    , m_configurationFollower(followerParts(), StoreKind::Configuration,
+                              {[this](const auto &configurations) { takeShape(configurations); },
+                               [](const auto &) { return false; }},
+                              Random(systemSeed()))
     , m_endpointFollower(followerParts(), StoreKind::Endpoints,
                          {[this](const auto &changes) { takeEndpoints(changes, true); },
-                          [this](const auto &changes) { takeEndpoints(changes, false); }},
+                          [this](const auto &changes) { return takeEndpoints(changes, false); }},
                          Random(systemSeed()))
     , m_listener(m_loop, [this](const auto &exchange) { handle(exchange); })
 {}
@@ -316,7 +316,8 @@
     m_coordinator.setGroup(isActing ? std::optional(m_view->m_group) : std::nullopt, rank);
 }
 
-void RankAgentProcess::takeEndpoints(const std::vector<StoreChange> &changes, bool isList)
+// Returns whether that changed where ranks are asked.
+bool RankAgentProcess::takeEndpoints(const std::vector<StoreChange> &changes, bool isList)
 {
     if (isList)
         m_endpoints.clear();
@@ -333,7 +334,7 @@
         access.push_back({{entry.m_address.m_host, m_settings.m_agents.m_port}, entry.m_address});
     std::sort(access.begin(), access.end());
     access.erase(std::unique(access.begin(), access.end()), access.end());
-    m_coordinator.setAccess(std::move(access));
+    return m_coordinator.setAccess(std::move(access));
 }
 
 // A change of the configuration is not waited for: engines' shapes change with a release at most.
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -94,6 +94,13 @@
     m_parts.m_loop.cancel(m_timer);
 }
 
+bool RankCoordinator::setAccess(std::vector<RankAccess> access)
+{
+    const bool isOther = access != m_access;
+    m_access = std::move(access);
+    return isOther;
+}
+
 void RankCoordinator::setShape(const std::optional<ExpertShape> &shape)
 {
     if (m_shape == shape)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -53,8 +53,8 @@
     RankCoordinator(const RankCoordinator &) = delete;
     RankCoordinator &operator=(const RankCoordinator &) = delete;
 
-    // Where the service's endpoints are asked.
-    void setAccess(std::vector<RankAccess> access) { m_access = std::move(access); }
+    // Where the service's endpoints are asked. Returns whether that differs from before.
+    bool setAccess(std::vector<RankAccess> access);
     void setShape(const std::optional<ExpertShape> &shape);
 
     // Begins to coordinate a group from a rank's agent, or ends it.
--- a/tests/internal/gateway/test_watchschedule.cpp
+++ b/tests/internal/gateway/test_watchschedule.cpp
@@ -127,6 +127,29 @@
     BOOST_TEST(!schedule.shouldAskAnew(13, start + Seconds(9)));
 }
 
+// The load pattern of a fleet that starts: engines register one after the other for seconds, and
+// later each order to one changes its entry.
+BOOST_AUTO_TEST_CASE(changes_that_go_on_are_asked_for_less_and_less_often)
+{
+    constexpr Milliseconds firstPause{300};
+    WatchSchedule schedule(Random(1));
+    TimePoint now = start;
+    unsigned calls = 0;
+    for (; now < start + Seconds(4); ++calls)
+        now += schedule.pauseAfterChanges(true, now);
+    BOOST_TEST(calls <= 6U);
+    BOOST_TEST((schedule.pauseAfterChanges(true, now + Seconds(3)) == firstPause));
+}
+
+BOOST_AUTO_TEST_CASE(changes_that_are_no_news_are_followed_by_a_long_pause)
+{
+    constexpr Milliseconds inForceWithin{2000};
+    WatchSchedule schedule(Random(1));
+    const Milliseconds pause = schedule.pauseAfterChanges(false, start);
+    BOOST_TEST((pause > schedule.pauseAfterChanges(true, start + Seconds(5))));
+    BOOST_TEST((pause <= inForceWithin / 2));
+}
+
 BOOST_AUTO_TEST_CASE(one_follower_of_a_process_tries_a_store_that_is_away)
 {
     StoreOutage outage;
