Accept bounds of the platform that are fractions

Change: all bounds are read as numbers with their limits as before. Tests read such settings and those beyond the limits.

--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -53,7 +53,7 @@
     if (found != m_gates.end())
         return found->second;
     const RetryAllowanceOptions options = {m_parts.m_bounds.m_retryRatio,
-                                           static_cast<double>(m_parts.m_bounds.m_retryBurst),
+                                           m_parts.m_bounds.m_retryBurst,
                                            m_parts.m_bounds.m_retryWindow};
     ServiceGate &gate = m_gates.emplace(service, ServiceGate(options)).first->second;
     sizeWindow(service, gate);
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -211,6 +211,7 @@
 std::vector<RankAccess> RankCoordinator::accessOf(const std::vector<std::uint32_t> &ranks) const
 {
     std::vector<RankAccess> access;
+    access.reserve(ranks.size());
     for (const std::uint32_t rank : ranks)
         access.push_back(m_rankAccess.at(rank));
     return access;
--- a/src/burdockhead/settings/keybinding.h
+++ b/src/burdockhead/settings/keybinding.h
@@ -89,6 +89,29 @@
             }};
 }
 
+// The binding of a span that is written as a number of units, which may be a fraction.
+template <typename Target, typename Owner>
+KeyBinding<Target> bindSpan(const std::string &key, Milliseconds Owner::*member, Milliseconds unit,
+                            double low, double high, const std::string &meaning)
+{
+    return {key,
+            "a number from " + printFraction(low) + " to " + printFraction(high),
+            meaning,
+            false,
+            [member, unit, low, high](const std::string &text, Target &target) {
+                const auto number = readFraction(text, high);
+                if (!number || *number < low)
+                    return false;
+                target.*member = std::chrono::duration_cast<Milliseconds>(
+                    std::chrono::duration<double, std::milli>(*number * unit.count()));
+                return true;
+            },
+            [member, unit](const Target &target) {
+                return printFraction(static_cast<double>((target.*member).count())
+                                     / static_cast<double>(unit.count()));
+            }};
+}
+
 // The binding of a decimal fraction from 0 to a bound.
 template <typename Target, typename Owner>
 KeyBinding<Target> bindFraction(const std::string &key, double Owner::*member, double high,
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -202,16 +202,16 @@
             false,
             {bound(bindFraction<B>("retry_ratio", &B::m_retryRatio, maxRatio,
                                    "Further attempts for each request of a service")),
-             bound(bindNumber<B>("retry_burst", &B::m_retryBurst, 0, maxCount,
-                                 "Further attempts in a window that the fleet always may make")),
-             bound(bindSeconds<B>("retry_window_s", &B::m_retryWindow, 1, maxSeconds,
-                                  "The span in which further attempts are counted")),
+             bound(bindFraction<B>("retry_burst", &B::m_retryBurst, maxCount,
+                                   "Further attempts in a window that the fleet always may make")),
+             bound(bindSpan<B>("retry_window_s", &B::m_retryWindow, Seconds(1), 1, maxSeconds,
+                               "The span in which further attempts are counted")),
              bound(bindFraction<B>("cold_burst", &B::m_coldBurst, maxRatio,
                                    "Times the declared rate that a cold endpoint may get")),
-             bound(bindNumber<B>("leave_ms", &B::m_leaveTime, 0, maxMilliseconds,
-                                 "An endpoint whose entry is gone gets nothing after this")),
-             bound(bindSeconds<B>("stop_grace_s", &B::m_stopGrace, 1, maxSeconds,
-                                  "How long a stop may take"))}};
+             bound(bindSpan<B>("leave_ms", &B::m_leaveTime, Milliseconds(1), 0, maxMilliseconds,
+                               "An endpoint whose entry is gone gets nothing after this")),
+             bound(bindSpan<B>("stop_grace_s", &B::m_stopGrace, Seconds(1), 1, maxSeconds,
+                               "How long a stop may take"))}};
 }
 
 template <typename Settings>
--- a/tests/internal/rankagent/test_deputies.cpp
+++ b/tests/internal/rankagent/test_deputies.cpp
@@ -54,7 +54,7 @@
 // the ranks still have the map of the change that was given up.
 BOOST_AUTO_TEST_CASE(a_deputy_does_not_take_over_while_the_coordinator_reads_counts)
 {
-    const std::vector<std::uint32_t> counted = {0, 34, 55, 68};
+    std::vector<std::uint32_t> counted = {0, 34, 55, 68};
     const auto ours = [&] { return ranksOfCountRound(counted, allRanks()); };
     for (const std::uint32_t deputy : {1U, 2U})
         BOOST_TEST(!takesOver(deputyInChange(deputy), ours));
--- a/tests/internal/settings/test_settingstext.cpp
+++ b/tests/internal/settings/test_settingstext.cpp
@@ -19,6 +19,11 @@
                               "[limits]\nmax_body_bytes = 100\ndrain_ms = 5\n"
                               "[seeds]\ncontrol = 127.0.0.1:1, 127.0.0.1:2\n";
 
+const std::string gatewayText = "[process]\nname = w1\ndata_centre = a\n"
+                                "[listen]\nclients = 127.0.0.1:80\nreadiness = 127.0.0.1:81\n"
+                                "directory = 127.0.0.1:82\npeers = 127.0.0.1:83\n"
+                                "metrics = 127.0.0.1:84\n[store]\naddress = 127.0.0.1:85\n";
+
 // The first diagnostic of an agent's settings.
 std::string agentProblem(const std::string &text)
 {
@@ -52,6 +57,34 @@
     BOOST_TEST((parseAgentSettings(printSettings(*agent), "g.ini", diagnostics) == agent));
 }
 
+// A platform of another size gives bounds that are no whole numbers.
+BOOST_AUTO_TEST_CASE(a_gateways_bounds_may_be_fractions)
+{
+    Diagnostics diagnostics;
+    const auto gateway = parseGatewaySettings(
+        gatewayText
+            + "[bounds]\nretry_ratio = 0.15\nretry_burst = 42.41379310344828\n"
+              "retry_window_s = 7.5\ncold_burst = 1.25\nleave_ms = 1500.5\nstop_grace_s = 2.5\n",
+        "w.ini", diagnostics);
+    BOOST_TEST(toString(diagnostics) == "");
+    BOOST_REQUIRE(gateway.has_value());
+    BOOST_TEST(gateway->m_bounds.m_retryBurst > 42.4);
+    BOOST_TEST((gateway->m_bounds.m_retryWindow == Milliseconds(7500)));
+    BOOST_TEST((gateway->m_bounds.m_leaveTime == Milliseconds(1500)));
+    BOOST_TEST((gateway->m_bounds.m_stopGrace == Milliseconds(2500)));
+    BOOST_TEST((parseGatewaySettings(printSettings(*gateway), "w.ini", diagnostics) == gateway));
+}
+
+BOOST_AUTO_TEST_CASE(a_gateways_bounds_keep_their_limits)
+{
+    for (const char *bound : {"retry_window_s = 0.5", "stop_grace_s = 0", "leave_ms = -1",
+                              "retry_burst = 1000001", "retry_burst = many"}) {
+        Diagnostics diagnostics;
+        const std::string text = gatewayText + "[bounds]\n" + bound + "\n";
+        BOOST_TEST(!parseGatewaySettings(text, "w.ini", diagnostics).has_value(), bound);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bad_settings_are_refused_with_line_and_key)
 {
     BOOST_TEST(agentProblem(replaced(agentText, "127.0.0.1:80", "host:80"))
