Count from the start of ranks that have just started

Change: a rank that is younger than three seconds tells all that it has counted; idle rounds follow each other after 150 ms.

--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/net/httplistener.h>
 #include <burdockhead/net/shortcall.h>
 #include <burdockhead/observe/log.h>
+#include <burdockhead/observe/wallclock.h>
 #include <burdockhead/process/processstart.h>
 #include <burdockhead/rankagent/countdifference.h>
 #include <burdockhead/rankagent/deputies.h>
@@ -174,9 +175,12 @@
                   const auto counts = call.status() == statusOk
                                           ? m_dialects.m_engine.readCounts(call.body())
                                           : std::optional<ExpertCounts>();
-                  if (counts && m_view)
+                  if (counts && m_view) {
+                      const Milliseconds age(
+                          static_cast<std::int64_t>(wallMilliseconds() - m_view->m_startedAt));
                       m_counts =
-                          m_countDifference.since(*counts, m_view->m_startedAt, Clock::now());
+                          m_countDifference.since(*counts, m_view->m_startedAt, age, Clock::now());
+                  }
                   then();
               });
 }
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -16,7 +16,7 @@
 // Between rounds: while the group makes no steps, while it does, while a map is being loaded,
 // and while the group is held and waits for every message. A shift of the demand shows within
 // one or two rounds.
-constexpr Milliseconds idlePause{400};
+constexpr Milliseconds idlePause{150};
 constexpr Milliseconds busyPause{70};
 constexpr Milliseconds changePause{25};
 constexpr Milliseconds holdPause{5};
--- a/tests/internal/rankagent/test_expertdemand.cpp
+++ b/tests/internal/rankagent/test_expertdemand.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t layers = 2;
 constexpr std::size_t experts = 8;
 constexpr std::uint64_t perRound = 40000;
+constexpr Milliseconds old{60000}; // The age of a rank that has counted for long.
 
 // What a rank counts in a round, for one expert most.
 class CountingRank
@@ -84,17 +85,32 @@
 {
     CountDifference difference;
     const TimePoint now = Clock::now();
-    BOOST_TEST((difference.since({1, {100, 50}}, 7, now) == ExpertCounts{1, {0, 0}}));
-    BOOST_TEST((difference.since({1, {130, 50}}, 7, now) == ExpertCounts{1, {30, 0}}));
+    BOOST_TEST((difference.since({1, {100, 50}}, 7, old, now) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {130, 50}}, 7, old, now) == ExpertCounts{1, {30, 0}}));
 }
 
 BOOST_AUTO_TEST_CASE(a_rank_that_starts_again_counts_anew)
 {
     CountDifference difference;
     const TimePoint now = Clock::now();
-    difference.since({1, {100, 50}}, 7, now);
-    BOOST_TEST((difference.since({1, {120, 60}}, 8, now) == ExpertCounts{1, {0, 0}}));
-    BOOST_TEST((difference.since({1, {125, 61}}, 8, now) == ExpertCounts{1, {5, 1}}));
+    difference.since({1, {100, 50}}, 7, old, now);
+    BOOST_TEST((difference.since({1, {120, 60}}, 8, old, now) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {125, 61}}, 8, old, now) == ExpertCounts{1, {5, 1}}));
+}
+
+// The load pattern of a group that forms again after a loss of power: each round counts.
+BOOST_AUTO_TEST_CASE(a_rank_that_has_just_started_tells_all_that_it_has_counted)
+{
+    CountDifference difference;
+    const TimePoint now = Clock::now();
+    BOOST_TEST((difference.since({1, {100, 50}}, 7, Milliseconds(800), now)
+                == ExpertCounts{1, {100, 50}}));
+    BOOST_TEST(
+        (difference.since({1, {130, 50}}, 7, Milliseconds(900), now) == ExpertCounts{1, {30, 0}}));
+    // A start that lies ahead is a clock that has jumped.
+    CountDifference other;
+    BOOST_TEST(
+        (other.since({1, {100, 50}}, 7, Milliseconds(-800), now) == ExpertCounts{1, {0, 0}}));
 }
 
 // Counts of several seconds would hide a shift of the demand in between.
@@ -102,10 +118,10 @@
 {
     CountDifference difference;
     const TimePoint now = Clock::now();
-    difference.since({1, {100, 50}}, 7, now);
+    difference.since({1, {100, 50}}, 7, old, now);
     const TimePoint later = now + Seconds(5);
-    BOOST_TEST((difference.since({1, {9100, 50}}, 7, later) == ExpertCounts{1, {0, 0}}));
-    BOOST_TEST((difference.since({1, {9130, 52}}, 7, later) == ExpertCounts{1, {30, 2}}));
+    BOOST_TEST((difference.since({1, {9100, 50}}, 7, old, later) == ExpertCounts{1, {0, 0}}));
+    BOOST_TEST((difference.since({1, {9130, 52}}, 7, old, later) == ExpertCounts{1, {30, 2}}));
 }
 
 BOOST_AUTO_TEST_CASE(few_counts_wait_for_more)
