Name the sample of ranks, and what gateways hear at their peers' address

Renamed a local that had its function's name, put what knownRanks and countedRanks return beside their declarations, and the settings' key says that orders come to the peers' address too.

--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -157,10 +157,10 @@
     }
     const TimePoint now = Clock::now();
     m_isFullRound = m_plan || m_isHolding || m_rankAccess.empty() || now >= m_nextFullRoundAt;
-    const std::vector<std::uint32_t> countedRanks = this->countedRanks();
-    const std::vector<RankAccess> counted = accessOf(countedRanks);
+    const std::vector<std::uint32_t> sample = countedRanks();
+    const std::vector<RankAccess> counted = accessOf(sample);
     const std::vector<RankAccess> asked =
-        m_isFullRound ? m_access : accessOf(ranksOfCountRound(countedRanks, knownRanks()));
+        m_isFullRound ? m_access : accessOf(ranksOfCountRound(sample, knownRanks()));
     if (m_isFullRound) {
         m_viewsFrom = bootMilliseconds();
         m_nextFullRoundAt = now + fullRoundInterval;
@@ -199,7 +199,6 @@
         [this, access](ShortCall &call) { engineAnswered(access, call); }));
 }
 
-// Those that answered in the last full round.
 std::vector<std::uint32_t> RankCoordinator::knownRanks() const
 {
     std::vector<std::uint32_t> ranks;
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -83,9 +83,10 @@
     std::string missingRanks() const;
     std::optional<ExpertMap> mapInUse() const;
     std::optional<ExpertMap> newestMap() const;
+    // Ranks that answered in the last full round, and those of them whose counts are read.
     std::vector<std::uint32_t> knownRanks() const;
-    std::vector<RankAccess> accessOf(const std::vector<std::uint32_t> &ranks) const;
     std::vector<std::uint32_t> countedRanks() const;
+    std::vector<RankAccess> accessOf(const std::vector<std::uint32_t> &ranks) const;
     bool isMakingSteps();
     void decide();
     void makePlan(const std::vector<RankView> &views, bool isForced);
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -186,7 +186,9 @@
          bindKey<S>("directory", &S::m_directory, allowedAddress,
                     "Tells clients which gateways to use")
              .required(),
-         bindKey<S>("peers", &S::m_peers, allowedAddress, "Datagrams of other gateways").required(),
+         bindKey<S>("peers", &S::m_peers, allowedAddress,
+                    "Datagrams of other gateways, and orders to engines that agents pass on")
+             .required(),
          bindKey<S>("metrics", &S::m_metrics, allowedAddress, "Metrics in Prometheus's text")
              .required()}};
 }
