Reset the connection of a call that is cancelled

A side VM freezes for 4.2 s; four requests that gateways had sent within 0.1 s reach the engine when it wakes, 2.2 s after their clients left. The gateway had closed their connections in order, so the bytes that were held up stayed valid and were delivered before the end of the stream. Ruled out: requests that wait in the gateway or in a connection that isn't made yet (all four are logged as sent and reach the engine); a share of the requests that is too large for one endpoint (0.1 s of ordinary traffic, sent before any gateway could know). Change: a cancelled call closes its connection with a reset, which discards what the peer has not read. The new case of test_net fails without it.

--- a/src/burdockhead/net/httpclientpool.cpp
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -98,11 +98,14 @@
     return ++m_callNumber;
 }
 
-// A connection may have gone on to another call since.
+// A connection may have gone on to another call since. Reset, so that an endpoint that was paused
+// doesn't begin to work on the request when it resumes.
 void ClientConnection::cancel(std::uint64_t callNumber)
 {
-    if (m_observer != nullptr && m_callNumber == callNumber)
-        close();
+    if (m_observer == nullptr || m_callNumber != callNumber)
+        return;
+    m_stream->abort();
+    close();
 }
 
 void ClientConnection::close()
--- a/src/burdockhead/net/httpclientpool.h
+++ b/src/burdockhead/net/httpclientpool.h
@@ -39,7 +39,7 @@
     bool m_hasNoAnswerBody = false; // The request is a HEAD.
 };
 
-// A call in progress; destroying it closes its connection.
+// A call in progress; destroying it resets its connection.
 class HttpCall
 {
 public:
--- a/src/burdockhead/net/tcpstream.cpp
+++ b/src/burdockhead/net/tcpstream.cpp
@@ -200,6 +200,15 @@
     m_d->close();
 }
 
+void TcpStream::abort()
+{
+    if (m_d->m_owner != nullptr) {
+        asio::error_code ignored; // Without the option the connection still closes, in order.
+        m_d->m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    m_d->close();
+}
+
 std::uint64_t TcpStream::sentBytes() const
 {
     return m_d->m_sentBytes;
--- a/src/burdockhead/net/tcpstream.h
+++ b/src/burdockhead/net/tcpstream.h
@@ -56,6 +56,10 @@
     // Closes at once; the owner hears nothing more.
     void close();
 
+    // Closes with a reset: bytes that the peer's application has not read yet are discarded, also
+    // those that are still on their way to a VM that is paused or cut off.
+    void abort();
+
     // Bytes that have been handed to the network.
     std::uint64_t sentBytes() const;
 
--- a/tests/internal/net/test_httpclientpool.cpp
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -32,6 +32,9 @@
     std::size_t connections() const { return m_connections.size(); }
     std::size_t requests() const { return m_requests; }
 
+    // How the client last ended a connection; none if it has not.
+    std::optional<StreamEnd> lastEnd() const { return m_lastEnd; }
+
 private:
     struct Script
     {
@@ -42,7 +45,11 @@
     struct Connection : TcpStreamOwner
     {
         void streamReceived(std::string_view) override { m_server->request(*this); }
-        void streamEnded(StreamEnd) override { m_stream->close(); }
+        void streamEnded(StreamEnd end) override
+        {
+            m_server->m_lastEnd = end;
+            m_stream->close();
+        }
 
         ScriptedServer *m_server = nullptr;
         std::shared_ptr<TcpStream> m_stream;
@@ -81,6 +88,7 @@
     std::deque<Script> m_scripts;
     std::vector<std::unique_ptr<Connection>> m_connections;
     std::size_t m_requests = 0;
+    std::optional<StreamEnd> m_lastEnd;
 };
 
 struct Observer : HttpCallObserver
@@ -188,6 +196,18 @@
     BOOST_TEST(m_pool.connectionsMade() == 2U);
 }
 
+// A connection that ends in order would leave the request valid: a server that was paused would
+// read it after its pause and run it for nobody.
+BOOST_AUTO_TEST_CASE(a_call_that_is_dropped_resets_its_connection)
+{
+    Observer observer;
+    auto inProgress = call(observer);
+    runUntil(m_loop, [&] { return m_server.requests() == 1; });
+    inProgress.reset();
+    runUntil(m_loop, [&] { return m_server.lastEnd().has_value(); });
+    BOOST_TEST((m_server.lastEnd() == StreamEnd::Failed));
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_that_was_idle_for_too_long_is_not_used)
 {
     m_server.answerWith(wholeAnswer, false);
