Answer clients that have just connected to a gateway that stops

Traced: the request was sent 2.10 s after SIGTERM, its connection ended 1 to 4 ms later and the gateway went on running. While it stops, a gateway closes idle connections every 50 ms, and one that had been accepted but whose first request hadn't been read counted as idle. Change: a connection without a request so far isn't idle. Before the port is closed, connections that the kernel has made already are accepted, and the process waits up to 0.2 s for their requests, which get 503 and a retry time.

The case of the broken stream depended on a random choice. Two streams run at a time now, so that one of them certainly goes to the endpoint that breaks it.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -33,6 +33,8 @@
 constexpr Milliseconds mayExitBeforeEnd{2500};
 constexpr Milliseconds exitBeforeEnd{600};
 constexpr Milliseconds stopPollInterval{50};
+// How long a stopping process waits for the requests of clients that have connected last.
+constexpr Milliseconds lastRequestsTime{200};
 
 // Reads the settings file again; none if it is invalid.
 using ReadGatewaySettings = std::function<std::optional<GatewaySettings>()>;
@@ -64,6 +66,7 @@
     void scheduleSettingsCheck();
     void stop();
     void continueStop();
+    void endStop(TimePoint deadline);
     void handleReadiness(HttpExchange &exchange);
     void handleAddresses(HttpExchange &exchange);
     void handleMetrics(HttpExchange &exchange);
@@ -362,14 +365,26 @@
         m_router.refuseNew();
     const bool isDone = now >= m_stopDeadline - mayExitBeforeEnd && m_router.openRequests() == 0;
     if (isDone || now >= m_stopDeadline - exitBeforeEnd) {
-        m_log.add("stopped", {{"open_requests", std::to_string(m_router.openRequests())}});
-        m_log.flush();
-        m_loop.stop();
+        m_clientListener.stopAccepting();
+        endStop(now + lastRequestsTime);
         return;
     }
     m_loop.callAt(now + stopPollInterval, [this] { continueStop(); });
 }
 
+// Clients that had connected before the port was closed still get a response.
+void GatewayProcess::endStop(TimePoint deadline)
+{
+    const TimePoint now = Clock::now();
+    if (m_clientListener.mayOweResponses() && now < deadline) {
+        m_loop.callAt(now + stopPollInterval, [this, deadline] { endStop(deadline); });
+        return;
+    }
+    m_log.add("stopped", {{"open_requests", std::to_string(m_router.openRequests())}});
+    m_log.flush();
+    m_loop.stop();
+}
+
 void GatewayProcess::handleReadiness(HttpExchange &exchange)
 {
     const bool isReady = m_peers.local().m_state == PeerState::Ready;
--- a/src/burdockhead/net/httplistener.cpp
+++ b/src/burdockhead/net/httplistener.cpp
@@ -4,8 +4,8 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <unordered_map>
-#include <vector>
 
 namespace burdockhead {
 
@@ -107,9 +107,29 @@
         connection->closeIfIdle();
 }
 
+void HttpListener::stopAccepting()
+{
+    asio::error_code error;
+    m_d->m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_d->m_shared.m_loop.context());
+        m_d->m_acceptor.accept(socket, error);
+        if (!error)
+            m_d->accepted(std::move(socket));
+    }
+    asio::error_code ignored; // Closing frees the descriptor whatever it reports.
+    m_d->m_acceptor.close(ignored);
+}
+
 std::size_t HttpListener::openRequests() const
 {
     return m_d->m_shared.m_openRequests;
 }
 
+bool HttpListener::mayOweResponses() const
+{
+    return std::any_of(m_d->m_connections.begin(), m_d->m_connections.end(),
+                       [](const auto &item) { return item.second->mayOweResponse(); });
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -39,12 +39,20 @@
     // From now on each answer closes its connection.
     void closeAfterAnswers();
 
-    // Closes the connections on which no request is in work.
+    // Closes the kept connections on which no request is in work or arriving. One that has just been
+    // made isn't idle: its first request may be on the way.
     void closeIdle();
 
+    // Accepts the connections that clients have made already and refuses further ones.
+    void stopAccepting();
+
     // Requests in work.
     std::size_t openRequests() const;
 
+    // Whether a client may still be waiting for a response: on a request in work or arriving, or on
+    // the first one of a connection.
+    bool mayOweResponses() const;
+
 private:
     friend class HttpServerConnection;
     struct Private;
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -36,10 +36,17 @@
 
 void HttpServerConnection::closeIfIdle()
 {
-    if (!m_exchange && !m_parser.hasBegun() && !m_isLingering)
+    if (!mayOweResponse())
         lingerAndClose();
 }
 
+bool HttpServerConnection::mayOweResponse() const
+{
+    if (m_isClosed || m_isLingering)
+        return false;
+    return !m_hasAnswered || m_exchange || m_parser.hasBegun() || !m_pending.empty();
+}
+
 void HttpServerConnection::setTimer(Milliseconds span)
 {
     m_shared.m_loop.cancel(m_timer);
@@ -156,6 +163,7 @@
         return;
     const auto self = shared_from_this();
     const bool closes = willClose();
+    m_hasAnswered = true;
     m_exchange.reset();
     --m_shared.m_openRequests;
     // What is written of an answer that breaks off still reaches the client, and its end doesn't
--- a/src/burdockhead/net/httpserverconnection.h
+++ b/src/burdockhead/net/httpserverconnection.h
@@ -29,9 +29,13 @@
     // Starts the timer of the first request.
     void start();
 
-    // Closes the connection if no request is in work and none has begun to arrive.
+    // Closes the connection if no request is in work and none has begun to arrive, unless it is
+    // still to get its first one.
     void closeIfIdle();
 
+    // Whether a request is in work, has begun to arrive, or would be the connection's first.
+    bool mayOweResponse() const;
+
     void write(std::string_view bytes);
     void answerEnded(HttpExchange &exchange, bool isWhole);
     bool willClose() const;
@@ -59,6 +63,7 @@
     std::string m_pending; // Came while a request was in work.
     std::shared_ptr<HttpExchange> m_exchange;
     TimerId m_timer = 0;
+    bool m_hasAnswered = false;
     bool m_bodyTooLarge = false;
     bool m_isConsuming = false;
     bool m_isLingering = false; // Everything is written; waits for the client to close.
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -2,6 +2,8 @@
 #include "loopback.h"
 #include <burdockhead/net/httplistener.h>
 
+#include <algorithm>
+
 using namespace burdockhead;
 using namespace burdockhead::test;
 
@@ -134,4 +136,50 @@
     BOOST_TEST(m_client.received().ends_with("last"));
 }
 
+// The request of a client that has just connected may be on its way.
+BOOST_AUTO_TEST_CASE(a_connection_without_a_request_so_far_is_not_closed_as_idle)
+{
+    runUntil(m_loop, [&] { return m_server.m_listener.mayOweResponses(); });
+    m_server.m_listener.closeAfterAnswers();
+    m_server.m_listener.closeIdle();
+    m_client.write("GET / HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->answer(503, {}, "late");
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().ends_with("late"));
+    BOOST_TEST(!m_server.m_listener.mayOweResponses());
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_connection_without_a_further_request_is_closed_as_idle)
+{
+    m_client.write("GET / HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->answer(200, {}, "first");
+    m_server.m_listener.closeIdle();
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().ends_with("first"));
+}
+
+BOOST_AUTO_TEST_CASE(clients_that_connected_before_the_port_was_closed_are_answered)
+{
+    constexpr std::size_t clients = 20;
+    std::vector<std::unique_ptr<RawClient>> waiting;
+    for (std::size_t client = 0; client < clients; ++client) {
+        waiting.push_back(std::make_unique<RawClient>(m_loop, m_server.m_address));
+        waiting.back()->write("GET / HTTP/1.1\r\n\r\n");
+    }
+    // The loop doesn't run in between, so that the kernel alone has made these connections.
+    m_server.m_listener.stopAccepting();
+    awaitRequests(clients);
+    for (const auto &exchange : m_server.m_exchanges)
+        exchange->answer(503, {}, "late");
+    runUntil(m_loop, [&] {
+        return std::all_of(waiting.begin(), waiting.end(),
+                           [](const auto &client) { return client->received().ends_with("late"); });
+    });
+    RawClient late(m_loop, m_server.m_address);
+    runUntil(m_loop, [&] { return late.hasEnded(); });
+    BOOST_TEST(late.received().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -52,10 +52,17 @@
 {
     start();
     m_llm[0]->misbehave(Misbehaviour::BreakStream);
+    // Of two streams at a time each endpoint gets one.
+    for (const auto &endpoint : m_llm)
+        endpoint->setDelay(Milliseconds(20));
     for (int count = 0; count < 4; ++count) {
-        const auto call = request("POST", "/stream/x");
-        BOOST_TEST(call->isComplete());
-        BOOST_TEST(call->body() == EndpointStandIn::events(1, EndpointStandIn::lastEvent));
+        const auto first = call("POST", "/stream/x");
+        const auto second = request("POST", "/stream/x");
+        waitUntil([&] { return first->hasEnded(); });
+        for (const ClientCall *stream : {first.get(), second.get()}) {
+            BOOST_TEST(stream->isComplete());
+            BOOST_TEST(stream->body() == EndpointStandIn::events(1, EndpointStandIn::lastEvent));
+        }
     }
     BOOST_TEST(!m_llm[0]->ran().empty());
 }
