Count the time of a removed endpoint from when it may have left

Traced in the gateways' logs: the store acknowledged the removal at 28.607 s; during a release every gateway pauses up to 0.9 s between watches, and all read it at 29.435 to 29.470 s. Each then used the endpoint for three quarters of the permitted 3.0 s, until 31.69 to 31.72 s; a request at 31.609 s came 5 ms late. Ruled out: a gateway that missed the change (all learned of it within 35 ms). Change: ChangeTimeEstimator gives the earliest time at which the changes of a response may have been made: the previous response, unless the watch was waiting when the change came. After an outage of over a second it is the time of the first response, as entries that expired meanwhile come back. What it costs in an outage: nothing; a view that can't be renewed is used on, since the store then confirms no removal, and each request names the endpoint that it expects at the address.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -53,8 +53,8 @@
     StoreFollowerDependencies followerParts();
     PeerRecord initialRecord() const;
     bool applyConfigurationChanges(const std::vector<StoreChange> &changes);
-    bool applyEndpointChanges(const std::vector<StoreChange> &changes);
-    void applyEndpointList(const std::vector<StoreChange> &changes);
+    bool applyEndpointChanges(const std::vector<StoreChange> &changes, TimePoint madeAfter);
+    void applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter);
     bool applyDataCentreChanges(const std::vector<StoreChange> &changes);
     void applyDataCentreList(const std::vector<StoreChange> &changes);
     void setDataCentreOut(const std::string &name, bool isOut);
@@ -112,17 +112,21 @@
                Random(systemSeed()))
     , m_configurationFollower(
           followerParts(), StoreCollection::Configuration,
-          {[this](const auto &changes) { applyConfigurationChanges(changes); },
-           [this](const auto &changes) { return applyConfigurationChanges(changes); }},
+          {[this](const auto &changes, TimePoint) { applyConfigurationChanges(changes); },
+           [this](const auto &changes, TimePoint) { return applyConfigurationChanges(changes); }},
           Random(systemSeed()))
     , m_endpointFollower(followerParts(), StoreCollection::Endpoints,
-                         {[this](const auto &changes) { applyEndpointList(changes); },
-                          [this](const auto &changes) { return applyEndpointChanges(changes); }},
+                         {[this](const auto &changes, TimePoint madeAfter) {
+                              applyEndpointList(changes, madeAfter);
+                          },
+                          [this](const auto &changes, TimePoint madeAfter) {
+                              return applyEndpointChanges(changes, madeAfter);
+                          }},
                          Random(systemSeed()))
     , m_dataCentreFollower(
           followerParts(), StoreCollection::DataCentresOut,
-          {[this](const auto &changes) { applyDataCentreList(changes); },
-           [this](const auto &changes) { return applyDataCentreChanges(changes); }},
+          {[this](const auto &changes, TimePoint) { applyDataCentreList(changes); },
+           [this](const auto &changes, TimePoint) { return applyDataCentreChanges(changes); }},
           Random(systemSeed()))
     , m_clientListener(m_loop, [this](const auto &exchange) { m_router.handle(exchange); })
     , m_readinessListener(m_loop, [this](const auto &exchange) { handleReadiness(*exchange); })
@@ -194,7 +198,10 @@
     return true;
 }
 
-bool GatewayProcess::applyEndpointChanges(const std::vector<StoreChange> &changes)
+// The time for which a removed endpoint is still used counts from the earliest time at which it may
+// have left.
+bool GatewayProcess::applyEndpointChanges(const std::vector<StoreChange> &changes,
+                                          TimePoint madeAfter)
 {
     const TimePoint now = Clock::now();
     bool hasNewChanges = false;
@@ -210,8 +217,10 @@
             const auto current = m_endpoints.find(EndpointName(change.m_name));
             const Milliseconds usableTime = m_settings.m_bounds.m_leaveTime
                                             * removalFractionNumerator / removalFractionDenominator;
-            m_endpoints.remove(EndpointName(change.m_name), now + usableTime);
-            m_log.add("endpoint_gone", {{"endpoint", change.m_name}});
+            m_endpoints.remove(EndpointName(change.m_name), madeAfter + usableTime);
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
+            m_log.add("endpoint_gone", {{"endpoint", change.m_name},
+                                        {"max_age_ms", std::to_string(age.count())}});
             hasNewChanges = true;
             continue;
         }
@@ -232,7 +241,7 @@
 }
 
 // Applies a full list; endpoints that it doesn't contain are removed.
-void GatewayProcess::applyEndpointList(const std::vector<StoreChange> &changes)
+void GatewayProcess::applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter)
 {
     std::vector<StoreChange> allChanges = changes;
     for (const auto &item : m_endpoints.endpoints()) {
@@ -243,7 +252,7 @@
         if (!isListed)
             allChanges.push_back({name, true, 0, {}});
     }
-    applyEndpointChanges(allChanges);
+    applyEndpointChanges(allChanges, madeAfter);
 }
 
 void GatewayProcess::setDataCentreOut(const std::string &name, bool isOut)
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -83,6 +83,7 @@
                                                     {"revision", std::to_string(m_revision)},
                                                     {"known_elsewhere", std::to_string(revision)}});
     // Opens a new connection, since the old one may be unresponsive.
+    m_changeTimes.recordFailure();
     m_call.reset();
     m_dependencies.m_loop.cancel(m_timerId);
     sendRequest();
@@ -111,6 +112,7 @@
                      : m_dependencies.m_protocol.listTarget(m_collection, m_lastListedName);
     m_status = 0;
     m_body.clear();
+    m_changeTimes.recordRequest(now);
     m_dependencies.m_metrics
         .counter("burdockhead_gateway_store_calls_total",
                  {{"call", m_isWatching ? "watch" : "list"}, {"collection", collectionName()}})
@@ -168,8 +170,10 @@
         return;
     }
     onSuccess();
+    const TimePoint now = Clock::now();
+    const TimePoint madeAfter = m_changeTimes.recordResponse(now);
     if (!m_isWatching) {
-        applyListPage(*page);
+        applyListPage(*page, madeAfter);
         if (!m_isReadOnce || !m_isWatching)
             sendRequest();
         return;
@@ -181,9 +185,8 @@
     }
     for (const StoreChange &change : page->m_changes)
         m_schedule.recordRevision(change.m_revision);
-    const bool hasNewChanges = m_handlers.m_changed(page->m_changes);
+    const bool hasNewChanges = m_handlers.m_changed(page->m_changes, madeAfter);
     m_call.reset();
-    const TimePoint now = Clock::now();
     m_timerId = m_dependencies.m_loop.callAt(now + m_schedule.delayAfterChanges(hasNewChanges, now),
                                              [this] {
                                                  m_timerId = 0;
@@ -191,7 +194,7 @@
                                              });
 }
 
-void StoreFollower::applyListPage(const StorePage &page)
+void StoreFollower::applyListPage(const StorePage &page, TimePoint madeAfter)
 {
     // Uses the revision of the first page: changes made while later pages were read are returned by
     // the watch.
@@ -209,7 +212,7 @@
     m_isListed = true;
     for (const StoreChange &change : m_listedChanges)
         m_schedule.recordRevision(change.m_revision);
-    m_handlers.m_listed(m_listedChanges);
+    m_handlers.m_listed(m_listedChanges, madeAfter);
     m_listedChanges.clear();
 }
 
@@ -232,6 +235,7 @@
 {
     m_call.reset();
     m_dependencies.m_loop.cancel(m_timerId);
+    m_changeTimes.recordFailure();
     // After a store has lost its history, a watch from an earlier revision may wait in vain.
     m_isWatching = false;
     m_lastListedName.clear();
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/base/random.h>
+#include <burdockhead/gateway/changetimeestimator.h>
 #include <burdockhead/gateway/storeoutage.h>
 #include <burdockhead/gateway/storeprotocol.h>
 #include <burdockhead/gateway/watchschedule.h>
@@ -33,12 +34,13 @@
 class StoreFollower : private HttpCallObserver
 {
 public:
+    // The handlers' time point is the earliest at which the changes may have been made.
     struct Handlers
     {
         // Called with the whole collection after it was listed.
-        std::function<void(const std::vector<StoreChange> &)> m_listed;
+        std::function<void(const std::vector<StoreChange> &, TimePoint)> m_listed;
         // Called with changes in order; returns whether any was new to this process.
-        std::function<bool(const std::vector<StoreChange> &)> m_changed;
+        std::function<bool(const std::vector<StoreChange> &, TimePoint)> m_changed;
     };
 
     StoreFollower(const StoreFollowerDependencies &dependencies, StoreCollection collection,
@@ -73,7 +75,7 @@
     void sendRequest();
     void sendWhenAllowed();
     void onResponse();
-    void applyListPage(const StorePage &page);
+    void applyListPage(const StorePage &page, TimePoint madeAfter);
     void onFailure(const std::string &reason, bool isStoreOutage);
     void onSuccess();
     const char *collectionName() const;
@@ -93,6 +95,7 @@
     std::string m_lastListedName;
     std::vector<StoreChange> m_listedChanges;
     WatchSchedule m_schedule;
+    ChangeTimeEstimator m_changeTimes;
     std::size_t m_gatewayCount = 1;
     unsigned m_consecutiveFailures = 0;
     TimePoint m_outageStartedAt;
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -292,6 +292,37 @@
         BOOST_TEST(request("GET", "/safe/x")->body() == "answer of app-2");
 }
 
+// Endpoints of a release register one after the other, so that the gateway reads changes about a
+// second after they were made. One of them leaves without notice.
+BOOST_AUTO_TEST_CASE(a_removal_during_a_release_counts_from_when_it_was_made)
+{
+    constexpr Milliseconds timeLimit{2000};
+    constexpr int registrations = 16;
+    start();
+    for (int sequence = 2; sequence < registrations; ++sequence) {
+        std::string entry = m_llm[0]->entry();
+        const std::string unchanged = R"("sequence":1)";
+        entry.replace(entry.find(unchanged), unchanged.size(),
+                      R"("sequence":)" + std::to_string(sequence));
+        m_store.put("servers", m_llm[0]->id(), entry);
+        waitFor(Milliseconds(200));
+    }
+    for (int round = 0; round < 3; ++round) {
+        m_store.remove("servers", m_app[0]->id());
+        const TimePoint removedAt = Clock::now();
+        std::size_t ranInTime = 0;
+        for (TimePoint now = removedAt; now < removedAt + timeLimit + Milliseconds(500);
+             now = Clock::now()) {
+            request("GET", "/safe/x");
+            if (Clock::now() < removedAt + timeLimit)
+                ranInTime = m_app[0]->ran().size();
+        }
+        BOOST_TEST(m_app[0]->ran().size() == ranInTime);
+        m_store.put("servers", m_app[0]->id(), m_app[0]->entry());
+        waitFor(Milliseconds(400 + 150 * round));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_data_centre_that_is_out_gets_no_requests_until_it_is_brought_back)
 {
     start();
