Let a stop end though nng doesn't close a socket

Cause: nng_close (1.5.2) sometimes never returns under load: test_membership hung in 2 of about 25 runs beside six busy processes, once with a peer's socket and once with the listening one, on a condition variable within the library. A SIGTERM of an entry or agent would have hung with it. Change: sockets are closed on threads of their own, and a stop waits a second for them; one that isn't closed by then is logged and left to the end of the process. Closing sockets of failed peers no longer blocks at all.

--- a/src/burdockhead/membership/controltransport.cpp
+++ b/src/burdockhead/membership/controltransport.cpp
@@ -1,11 +1,14 @@
 #include <burdockhead/codec/messagereader.h>
 #include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/membership/abandonabletask.h>
 #include <burdockhead/membership/controltransport.h>
+#include <burdockhead/observe/log.h>
 
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <map>
@@ -21,6 +24,14 @@
 constexpr std::size_t framingBytes = 12; // nng's length and request id.
 constexpr nng_duration minReconnectDelayMs = 100;
 constexpr nng_duration maxReconnectDelayMs = 2000;
+// How long a stop waits for the library to close its sockets, which takes milliseconds.
+constexpr Milliseconds closeTimeout{1000};
+
+// Closes a socket on a thread of its own: nng_close sometimes never returns under load (1.5.2).
+AbandonableTask closeSocket(nng_socket socket)
+{
+    return AbandonableTask([socket] { nng_close(socket); });
+}
 
 nng_msg *makeMessage(const std::string &bytes)
 {
@@ -67,8 +78,13 @@
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     std::atomic<std::size_t> m_callCount = 0;
     std::atomic<bool> m_hasFailed = false;
+    bool m_isClosing = false; // The transport closes the socket itself.
 
-    ~PeerConnection() { nng_close(m_socket); }
+    ~PeerConnection()
+    {
+        if (!m_isClosing)
+            closeSocket(m_socket);
+    }
 };
 
 // Counts open calls, so that close() can wait until there are none.
@@ -360,11 +376,20 @@
         m_d->m_isClosed = true;
         connections.swap(m_d->m_connections);
     }
-    for (const auto &[url, connection] : connections)
-        nng_close(connection->m_socket);
+    std::vector<AbandonableTask> closings;
+    for (const auto &[url, connection] : connections) {
+        connection->m_isClosing = true;
+        closings.push_back(closeSocket(connection->m_socket));
+    }
     m_d->m_openCalls.waitForNone();
     if (m_d->m_isListening)
-        nng_close(m_d->m_socket);
+        closings.push_back(closeSocket(m_d->m_socket));
+    const TimePoint deadline = Clock::now() + closeTimeout;
+    const auto abandoned = std::count_if(
+        closings.begin(), closings.end(),
+        [&](const AbandonableTask &closing) { return !closing.waitUntil(deadline); });
+    if (abandoned > 0)
+        logWarning("control_sockets_abandoned", {{"sockets", abandoned}});
     for (const auto &worker : m_d->m_workers) {
         nng_aio_stop(worker->m_aio);
         nng_aio_free(worker->m_aio);
