Log what made a response late

The line of a request's end now tells for how long it was queued, when its first event came, its longest pause between events, and for how long the client had been trying before. CallTimes holds these times; ProxiedCall had kept some of them itself.

Without them the seconds after an outage could not be attributed.

--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -47,9 +47,9 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-std::string toText(Milliseconds span)
+std::string toText(Duration span)
 {
-    return std::to_string(span.count());
+    return std::to_string(toMilliseconds(span).count());
 }
 
 } // namespace
@@ -57,10 +57,10 @@
 ProxiedCall::ProxiedCall(CallRouter &router, std::shared_ptr<HttpExchange> exchange, CallId id)
     : m_router(router)
     , m_exchange(std::move(exchange))
-    , m_arrivedAt(Clock::now())
+    , m_times(Clock::now())
 {
     m_queuedCall.m_id = id;
-    m_queuedCall.m_arrivedAt = m_arrivedAt;
+    m_queuedCall.m_arrivedAt = m_times.arrivedAt();
 }
 
 ProxiedCall::~ProxiedCall()
@@ -70,7 +70,7 @@
 
 Milliseconds ProxiedCall::elapsed() const
 {
-    return toMilliseconds(Clock::now() - m_arrivedAt);
+    return toMilliseconds(Clock::now() - m_times.arrivedAt());
 }
 
 void ProxiedCall::start()
@@ -84,7 +84,7 @@
             self->onClientDisconnected();
     });
     setTimer(m_deadline);
-    m_router.limiter(m_service).retryBudget().recordRequest(m_arrivedAt);
+    m_router.limiter(m_service).retryBudget().recordRequest(m_times.arrivedAt());
     sendOrQueue();
 }
 
@@ -134,7 +134,7 @@
         weightPosition -= service.m_weight;
     }
     m_deadline =
-        m_arrivedAt
+        m_times.arrivedAt()
         + std::min(m_route.m_timeout, m_attributes.m_remainingTime.value_or(m_route.m_timeout));
     if (m_attributes.m_remainingTime)
         m_earlierAttemptsTime = m_router.clientAgeEstimator().estimateAge(
@@ -159,16 +159,16 @@
 {
     if (m_route.m_eventTimeout.count() == 0)
         return m_deadline;
-    const TimePoint lastEvent = m_lastEventAt == TimePoint() ? m_arrivedAt : m_lastEventAt;
     const Duration firstEventTime =
         std::max<Duration>(m_router.limiter(m_service).averageFirstEventTime(), minFirstEventTime);
-    return std::min(m_deadline, lastEvent + m_route.m_eventTimeout - firstEventTime);
+    return std::min(m_deadline, m_times.lastEventAt() + m_route.m_eventTimeout - firstEventTime);
 }
 
 // Sends the request, or queues it if it can still succeed.
 void ProxiedCall::sendOrQueue()
 {
     const TimePoint now = Clock::now();
+    m_times.recordQueued(now);
     ServiceLimiter &limiter = m_router.limiter(m_service);
     if (m_router.dependencies().m_endpoints.usableCount(m_service, now) == 0) {
         if (m_mayHaveRun)
@@ -193,7 +193,7 @@
 void ProxiedCall::enqueue()
 {
     m_isQueued = true;
-    m_queuedCall.m_latestOnTimeStart = m_arrivedAt - m_earlierAttemptsTime
+    m_queuedCall.m_latestOnTimeStart = m_times.arrivedAt() - m_earlierAttemptsTime
                                        + m_route.m_firstByteObjective
                                        - m_router.limiter(m_service).averageFirstEventTime();
     m_router.enqueue(m_service, m_queuedCall);
@@ -220,7 +220,8 @@
     m_isQueued = false;
     m_endpoint = std::move(endpoint);
     m_lastEndpoint = m_endpoint->m_registration.m_name;
-    m_sentAt = now;
+    m_times.recordDequeued(now);
+    m_times.recordSent(now);
     m_responseHead.reset();
     m_responseAttributes = {};
     m_responseBody.clear();
@@ -261,7 +262,7 @@
     const auto endpoint = std::move(m_endpoint);
     m_endpoint.reset();
     m_router.dependencies().m_endpoints.onRequestEnded(*endpoint);
-    m_router.limiter(m_service).onEnded(Clock::now() - m_sentAt, isSuccess);
+    m_router.limiter(m_service).onEnded(Clock::now() - m_times.sentAt(), isSuccess);
 }
 
 void ProxiedCall::callHead(const HttpHead &head)
@@ -312,11 +313,11 @@
 {
     const TimePoint now = Clock::now();
     ServiceLimiter &limiter = m_router.limiter(m_service);
-    if (m_lastEventAt < m_sentAt)
-        limiter.onFirstEvent(now - m_sentAt, now);
+    if (m_times.hasEventSinceSent())
+        limiter.recordEventInterval(now - m_times.lastEventAt(), m_route.m_maxEventInterval, now);
     else
-        limiter.recordEventInterval(now - m_lastEventAt, m_route.m_maxEventInterval, now);
-    m_lastEventAt = now;
+        limiter.onFirstEvent(now - m_times.sentAt(), now);
+    m_times.recordEvent(now);
 }
 
 void ProxiedCall::forwardEvents(std::string_view bytes)
@@ -543,8 +544,10 @@
     m_isFinished = true;
     const GatewayDependencies &dependencies = m_router.dependencies();
     dependencies.m_loop.cancel(m_timerId);
-    if (m_isQueued)
+    if (m_isQueued) {
+        m_times.recordDequeued(Clock::now());
         m_router.limiter(m_service).queue().remove(m_queuedCall.m_id);
+    }
     const Milliseconds totalTime = elapsed();
     dependencies.m_log.add("ended", {{"request", m_attributes.m_id},
                                      {"outcome", outcome},
@@ -554,6 +557,10 @@
                                      {"endpoint", m_lastEndpoint.text()},
                                      {"attempts", std::to_string(m_attempts)},
                                      {"config", std::to_string(m_configurationVersion)},
+                                     {"age_ms", toText(m_earlierAttemptsTime)},
+                                     {"queued_ms", toText(m_times.queueingTime())},
+                                     {"first_event_ms", toText(m_times.firstEventTime())},
+                                     {"pause_ms", toText(m_times.longestPause())},
                                      {"elapsed_ms", toText(totalTime)}});
     dependencies.m_metrics.counter("burdockhead_gateway_requests_total", {{"outcome", outcome}})
         .add();
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -3,6 +3,7 @@
 #include <burdockhead/base/errorkind.h>
 #include <burdockhead/gateway/callprotocol.h>
 #include <burdockhead/gateway/callqueue.h>
+#include <burdockhead/gateway/calltimes.h>
 #include <burdockhead/gateway/endpointtable.h>
 #include <burdockhead/gateway/eventsplitter.h>
 #include <burdockhead/gateway/route.h>
@@ -68,7 +69,7 @@
 
     CallRouter &m_router;
     const std::shared_ptr<HttpExchange> m_exchange;
-    const TimePoint m_arrivedAt;
+    CallTimes m_times;
     QueuedCall m_queuedCall;
     CallAttributes m_attributes;
     Route m_route;
@@ -82,8 +83,6 @@
     std::unique_ptr<HttpCall> m_call;
     KnownEndpointPointer m_endpoint; // Set while the request is in flight.
     EndpointName m_lastEndpoint;
-    TimePoint m_sentAt;
-    TimePoint m_lastEventAt; // Time of the last event; zero before the first.
     std::vector<EndpointName> m_triedEndpoints;
     unsigned m_attempts = 0; // Attempts that reached an endpoint or may have.
     unsigned m_failedConnects = 0;
