--- a/tests/internal/gateway/test_callqueue.cpp
+++ b/tests/internal/gateway/test_callqueue.cpp
@@ -1,8 +1,13 @@
+#include <burdockhead/base/random.h>
 #include <burdockhead/gateway/callqueue.h>
+#include <burdockhead/gateway/clientageestimator.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <random>
+#include <set>
 
 using namespace burdockhead;
 
@@ -59,6 +64,45 @@
     return inTime;
 }
 
+// Simulates the seconds after a loss of power: clients that have been trying for seconds retry
+// while first attempts arrive at three quarters of the capacity. Clients differ in patience.
+// Returns the share of the first attempts that start within their objective when `estimateAge`
+// tells for how long a client has been trying.
+template <typename EstimateAge>
+double firstAttemptsInTime(EstimateAge estimateAge)
+{
+    constexpr Milliseconds objective{250};
+    constexpr int slice = 12; // Milliseconds in which the service starts one call.
+    constexpr int spanMilliseconds = 6000;
+    Random random(1);
+    std::uniform_real_distribution<double> patience(0.85, 1);
+    std::uniform_int_distribution<int> earlierTime(1000, 3500);
+    CallQueue queue;
+    CallId id = 0;
+    std::set<CallId> firstAttempts;
+    const auto arrive = [&](Milliseconds at, bool isRetry) {
+        const Milliseconds earlier{isRetry ? earlierTime(random) : 0};
+        const Milliseconds remaining{static_cast<int>(8000 * patience(random)) - earlier.count()};
+        QueuedCall call = queuedCall(++id, 1, at, objective - estimateAge(remaining));
+        call.m_deadline = call.m_arrivedAt + remaining;
+        queue.push(call);
+        if (!isRetry)
+            firstAttempts.insert(id);
+    };
+    unsigned inTime = 0;
+    for (int at = 0; at < spanMilliseconds; at += slice) {
+        if (at < 2400)
+            arrive(Milliseconds(at), true);
+        if (at / slice % 4 != 0)
+            arrive(Milliseconds(at), false);
+        const TimePoint now = start + Milliseconds(at);
+        const auto next = queue.pop(now);
+        if (next && firstAttempts.contains(next->m_id))
+            inTime += now <= next->m_arrivedAt + objective ? 1 : 0;
+    }
+    return inTime / static_cast<double>(firstAttempts.size());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Waiting)
@@ -154,6 +198,23 @@
     BOOST_TEST(queue.pop(now)->m_id == 1U);
 }
 
+// Taking the longest remaining time for that of every first attempt makes impatient clients look
+// as if they had been refused before.
+BOOST_AUTO_TEST_CASE(after_an_outage_first_attempts_start_in_time_whatever_the_clients_patience)
+{
+    ClientAgeEstimator estimator;
+    const double learned = firstAttemptsInTime(
+        [&](Milliseconds remaining) { return estimator.estimateAge("draft", remaining); });
+    Milliseconds longest{0};
+    const double fromLongest = firstAttemptsInTime([&](Milliseconds remaining) {
+        longest = std::max(longest, remaining);
+        return longest - remaining;
+    });
+    BOOST_TEST(learned > 0.9);
+    BOOST_TEST(fromLongest < 0.7);
+    BOOST_TEST_MESSAGE("in time: " << learned << ", by the longest time " << fromLongest);
+}
+
 BOOST_AUTO_TEST_CASE(with_a_backlog_urgent_calls_still_go_before_the_newest)
 {
     CallQueue queue;
