--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -2,7 +2,6 @@
 #include <burdockhead/gateway/proxiedcall.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace burdockhead {
 
@@ -19,7 +18,7 @@
 constexpr double requestsPerSlowSlot = 0.4;
 // Smallest concurrency limit of a gateway, so that it can reach a few endpoints shared by many
 // gateways.
-constexpr std::size_t minLimit = 3;
+constexpr std::size_t minShare = 3;
 // Delay until dispatch is retried for queued calls that no endpoint accepted.
 constexpr Milliseconds dispatchRetryDelay{25};
 
@@ -59,26 +58,39 @@
                                                m_dependencies.m_bounds.m_retryWindow};
     ServiceLimiter &serviceLimiter =
         m_limiters.emplace(service, ServiceLimiter(options)).first->second;
-    updateLimits(service, serviceLimiter);
+    updateCapacity(service, serviceLimiter);
     return serviceLimiter;
 }
 
-void CallRouter::updateLimits(const GroupName &service, ServiceLimiter &serviceLimiter)
+void CallRouter::updateCapacity(const GroupName &service, ServiceLimiter &serviceLimiter)
 {
     const TimePoint now = Clock::now();
-    const auto readyGateways =
+    const std::size_t gateways =
         std::max<std::size_t>(m_dependencies.m_peers.readyClients(now).size(), 1);
+    const LoadElsewhere elsewhere = m_dependencies.m_loads.elsewhere(service, now);
     const double slots = m_dependencies.m_endpoints.usableSlots(service, now);
     const GatewayService *declared =
         m_configuration ? m_configuration->findService(service) : nullptr;
     const bool isEngine = declared != nullptr && declared->m_batchSize > 0;
-    const auto limitFor = [&](double requestsForSlot) {
-        const double requests =
-            std::ceil(slots * requestsForSlot / static_cast<double>(readyGateways));
-        return std::max(minLimit, static_cast<std::size_t>(requests));
-    };
-    const std::size_t limit = limitFor(isEngine ? requestsPerEngineSlot : requestsPerSlot);
-    serviceLimiter.setLimits(limit, isEngine ? limitFor(requestsPerSlowSlot) : limit);
+    ServiceCapacity capacity;
+    capacity.m_requests = slots * (isEngine ? requestsPerEngineSlot : requestsPerSlot);
+    capacity.m_slowRequests = isEngine ? slots * requestsPerSlowSlot : capacity.m_requests;
+    capacity.m_gateways = gateways;
+    capacity.m_requestsElsewhere = static_cast<double>(elsewhere.m_requests);
+    capacity.m_unknownGateways =
+        gateways > elsewhere.m_gateways + 1 ? gateways - elsewhere.m_gateways - 1 : 0;
+    capacity.m_minShare = minShare;
+    serviceLimiter.setCapacity(capacity);
+}
+
+std::vector<ServiceLoad> CallRouter::load() const
+{
+    std::vector<ServiceLoad> services;
+    for (const auto &[service, serviceLimiter] : m_limiters) {
+        if (serviceLimiter.requests() > 0)
+            services.push_back({service, serviceLimiter.requests()});
+    }
+    return services;
 }
 
 std::size_t CallRouter::maxPerSecond(const GroupName &service) const
@@ -107,7 +119,7 @@
 {
     m_position = m_dependencies.m_peers.localPosition(Clock::now());
     for (auto &[service, serviceLimiter] : m_limiters) {
-        updateLimits(service, serviceLimiter);
+        updateCapacity(service, serviceLimiter);
         dispatchQueued(service);
     }
 }
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -5,6 +5,7 @@
 #include <burdockhead/gateway/endpointtable.h>
 #include <burdockhead/gateway/gatewaybounds.h>
 #include <burdockhead/gateway/gatewayconfiguration.h>
+#include <burdockhead/gateway/loadtable.h>
 #include <burdockhead/gateway/peertable.h>
 #include <burdockhead/gateway/servicelimiter.h>
 #include <burdockhead/net/httpclientpool.h>
@@ -27,6 +28,7 @@
     const CallProtocol &m_protocol;
     EndpointTable &m_endpoints;
     PeerTable &m_peers;
+    LoadTable &m_loads;
     LineSink &m_log;
     Metrics &m_metrics;
     const GatewayBounds &m_bounds;
@@ -57,6 +59,9 @@
 
     std::size_t openRequests() const { return m_calls.size(); }
 
+    // Returns the requests of each service that has any.
+    std::vector<ServiceLoad> load() const;
+
     // Used by ProxiedCall.
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     ServiceLimiter &limiter(const GroupName &service);
@@ -69,7 +74,7 @@
     ClientAgeEstimator &clientAgeEstimator() { return m_clientAgeEstimator; }
 
 private:
-    void updateLimits(const GroupName &service, ServiceLimiter &serviceLimiter);
+    void updateCapacity(const GroupName &service, ServiceLimiter &serviceLimiter);
     void scheduleDispatch(const GroupName &service);
 
     GatewayDependencies m_dependencies;
--- /dev/null
+++ b/src/burdockhead/gateway/gatewayload.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <burdockhead/base/name.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace burdockhead {
+
+// Requests of one service at a gateway.
+struct ServiceLoad
+{
+    GroupName m_service;
+    std::uint64_t m_requests = 0; // In flight or queued.
+
+    friend bool operator==(const ServiceLoad &, const ServiceLoad &) = default;
+};
+
+// The load of a gateway, as published by it and forwarded by others.
+struct GatewayLoad
+{
+    ProcessName m_gateway;
+    std::uint64_t m_incarnation = 0; // Increases with each start of the process.
+    std::uint64_t m_sequence = 0;    // Increases with each report of the process.
+    std::vector<ServiceLoad> m_services;
+
+    friend bool operator==(const GatewayLoad &, const GatewayLoad &) = default;
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -81,6 +81,7 @@
     HttpClientPool m_storeClient;
     EndpointTable m_endpoints;
     PeerTable m_peers;
+    LoadTable m_loads;
     PeerLink m_peerLink;
     CallRouter m_router;
     StoreOutage m_storeOutage;
@@ -106,9 +107,10 @@
     , m_storeClient(m_loop)
     , m_endpoints(Random(systemSeed()))
     , m_peers(initialRecord(), settings.m_seeds, Random(systemSeed()))
-    , m_peerLink(m_loop, m_peers)
-    , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_log, m_metrics,
-                m_settings.m_bounds},
+    , m_loads(settings.m_name, m_peers.local().m_incarnation, Random(systemSeed()))
+    , m_peerLink(m_loop, m_peers, m_loads)
+    , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_loads, m_log,
+                m_metrics, m_settings.m_bounds},
                Random(systemSeed()))
     , m_configurationFollower(
           followerParts(), StoreCollection::Configuration,
@@ -219,8 +221,8 @@
                                             * removalFractionNumerator / removalFractionDenominator;
             m_endpoints.remove(EndpointName(change.m_name), madeAfter + usableTime);
             const auto age = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
-            m_log.add("endpoint_gone", {{"endpoint", change.m_name},
-                                        {"max_age_ms", std::to_string(age.count())}});
+            m_log.add("endpoint_gone",
+                      {{"endpoint", change.m_name}, {"max_age_ms", std::to_string(age.count())}});
             hasNewChanges = true;
             continue;
         }
@@ -318,6 +320,7 @@
     exchangeRevisions();
     m_endpoints.removeExpired(Clock::now());
     m_router.refresh();
+    m_loads.setLocal(m_router.load());
     m_loop.callAt(Clock::now() + updateInterval, [this] { refresh(); });
 }
 
--- /dev/null
+++ b/src/burdockhead/gateway/loadmessage.cpp
@@ -0,0 +1,52 @@
+#include <burdockhead/codec/messagereader.h>
+#include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/gateway/loadmessage.h>
+
+namespace burdockhead {
+
+namespace {
+
+// Tells the message from those of PeerTable, which share the port and begin with another number.
+constexpr std::uint64_t messageVersion = 3;
+constexpr std::size_t maxReports = 128;
+constexpr std::size_t maxServices = 64;
+
+} // namespace
+
+std::string writeLoadMessage(const std::vector<GatewayLoad> &reports)
+{
+    MessageWriter writer;
+    writer.number(messageVersion).number(reports.size());
+    for (const GatewayLoad &report : reports) {
+        writer.text(report.m_gateway.text())
+            .number(report.m_incarnation)
+            .number(report.m_sequence)
+            .number(report.m_services.size());
+        for (const ServiceLoad &load : report.m_services)
+            writer.text(load.m_service.text()).number(load.m_requests);
+    }
+    return writer.take();
+}
+
+std::optional<std::vector<GatewayLoad>> readLoadMessage(std::string_view datagram)
+{
+    MessageReader reader(datagram);
+    if (reader.number() != messageVersion)
+        return std::nullopt;
+    std::vector<GatewayLoad> reports(reader.listLength(maxReports));
+    for (GatewayLoad &report : reports) {
+        report.m_gateway = ProcessName(reader.text());
+        report.m_incarnation = reader.number();
+        report.m_sequence = reader.number();
+        report.m_services.resize(reader.listLength(maxServices));
+        for (ServiceLoad &load : report.m_services) {
+            load.m_service = GroupName(reader.text());
+            load.m_requests = reader.number();
+        }
+    }
+    if (!reader.complete())
+        return std::nullopt;
+    return reports;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/loadtable.cpp
@@ -0,0 +1,76 @@
+#include <burdockhead/gateway/loadtable.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace burdockhead {
+
+namespace {
+
+// Reports of other gateways in a message, so that it fits into one packet in a large fleet.
+constexpr std::size_t maxForwardedReports = 23;
+// A report counts for as long as it takes to reach every gateway of a large fleet, and then some.
+constexpr Milliseconds reportValidFor{2000};
+// An expired report is remembered for this time, so that a copy that other gateways still forward
+// doesn't count as news.
+constexpr Milliseconds rememberedFor{60000};
+
+std::tuple<std::uint64_t, std::uint64_t> versionOf(const GatewayLoad &load)
+{
+    return {load.m_incarnation, load.m_sequence};
+}
+
+} // namespace
+
+LoadTable::LoadTable(ProcessName localName, std::uint64_t incarnation, Random seed)
+    : m_local{std::move(localName), incarnation, 0, {}}
+    , m_random(seed)
+{}
+
+void LoadTable::setLocal(std::vector<ServiceLoad> services)
+{
+    m_local.m_services = std::move(services);
+}
+
+std::vector<GatewayLoad> LoadTable::reportsToSend(TimePoint now)
+{
+    std::vector<GatewayLoad> reports;
+    for (const auto &[name, received] : m_received) {
+        if (now < received.m_validUntil)
+            reports.push_back(received.m_load);
+    }
+    std::shuffle(reports.begin(), reports.end(), m_random);
+    reports.resize(std::min(reports.size(), maxForwardedReports));
+    ++m_local.m_sequence;
+    reports.push_back(m_local);
+    return reports;
+}
+
+void LoadTable::receive(const std::vector<GatewayLoad> &reports, TimePoint now)
+{
+    for (const GatewayLoad &report : reports) {
+        if (report.m_gateway == m_local.m_gateway)
+            continue;
+        ReceivedLoad &received = m_received[report.m_gateway];
+        if (versionOf(report) > versionOf(received.m_load))
+            received = {report, now + reportValidFor};
+    }
+    std::erase_if(m_received, [&](const auto &item) {
+        return now >= item.second.m_validUntil + rememberedFor;
+    });
+}
+
+LoadElsewhere LoadTable::elsewhere(const GroupName &service, TimePoint now) const
+{
+    LoadElsewhere load;
+    for (const auto &[name, received] : m_received) {
+        if (now >= received.m_validUntil)
+            continue;
+        ++load.m_gateways;
+        for (const ServiceLoad &reported : received.m_load.m_services)
+            load.m_requests += reported.m_service == service ? reported.m_requests : 0;
+    }
+    return load;
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/gateway/loadtable.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <burdockhead/base/random.h>
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/gateway/gatewayload.h>
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace burdockhead {
+
+// Requests of a service at the other gateways that have reported their load recently.
+struct LoadElsewhere
+{
+    std::uint64_t m_requests = 0;
+    std::size_t m_gateways = 0;
+
+    friend bool operator==(const LoadElsewhere &, const LoadElsewhere &) = default;
+};
+
+// What the gateways tell one another of their load by gossip. Answers uneven load: clients choose
+// gateways at random and keep their connections, and gateways stop and start, so that some have
+// several times the requests of others.
+class LoadTable
+{
+public:
+    LoadTable(ProcessName localName, std::uint64_t incarnation, Random seed);
+
+    // Sets the load of this gateway.
+    void setLocal(std::vector<ServiceLoad> services);
+
+    // Returns the next report of this gateway and recent ones of others.
+    std::vector<GatewayLoad> reportsToSend(TimePoint now);
+
+    // Merges the reports that another gateway sent.
+    void receive(const std::vector<GatewayLoad> &reports, TimePoint now);
+
+    LoadElsewhere elsewhere(const GroupName &service, TimePoint now) const;
+
+private:
+    struct ReceivedLoad
+    {
+        GatewayLoad m_load;
+        TimePoint m_validUntil;
+    };
+
+    GatewayLoad m_local;
+    std::map<ProcessName, ReceivedLoad> m_received;
+    Random m_random;
+};
+
+} // namespace burdockhead
--- a/src/burdockhead/gateway/peerlink.cpp
+++ b/src/burdockhead/gateway/peerlink.cpp
@@ -1,5 +1,6 @@
 #include <burdockhead/codec/messagereader.h>
 #include <burdockhead/codec/messagewriter.h>
+#include <burdockhead/gateway/loadmessage.h>
 #include <burdockhead/gateway/peerlink.h>
 #include <burdockhead/observe/log.h>
 
@@ -70,18 +71,21 @@
 
 struct PeerLink::Private
 {
-    Private(EventLoop &loop, PeerTable &table)
+    Private(EventLoop &loop, PeerTable &table, LoadTable &loads)
         : m_loop(loop)
         , m_table(table)
+        , m_loads(loads)
         , m_socket(loop.context())
     {}
 
     void receive();
     void sendHeartbeat();
     void send(const std::vector<SocketAddress> &targets);
+    void send(const std::string &message, const std::vector<SocketAddress> &targets);
 
     EventLoop &m_loop;
     PeerTable &m_table;
+    LoadTable &m_loads;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     std::array<char, maxDatagramBytes> m_buffer{};
@@ -89,21 +93,30 @@
 
 void PeerLink::Private::receive()
 {
-    m_socket.async_receive_from(
-        asio::buffer(m_buffer), m_sender, [this](const asio::error_code &error, std::size_t count) {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (!error) {
-                if (const auto records = readPeerMessage({m_buffer.data(), count}))
-                    m_table.receive(*records, Clock::now());
-            }
-            receive();
-        });
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
+                                [this](const asio::error_code &error, std::size_t count) {
+                                    if (error == asio::error::operation_aborted)
+                                        return;
+                                    if (!error) {
+                                        const std::string_view datagram(m_buffer.data(), count);
+                                        if (const auto records = readPeerMessage(datagram))
+                                            m_table.receive(*records, Clock::now());
+                                        else if (const auto reports = readLoadMessage(datagram))
+                                            m_loads.receive(*reports, Clock::now());
+                                    }
+                                    receive();
+                                });
 }
 
 void PeerLink::Private::send(const std::vector<SocketAddress> &targets)
 {
-    const std::string message = writePeerMessage(m_table.recordsToSend(Clock::now()));
+    const TimePoint now = Clock::now();
+    send(writePeerMessage(m_table.recordsToSend(now)), targets);
+    send(writeLoadMessage(m_loads.reportsToSend(now)), targets);
+}
+
+void PeerLink::Private::send(const std::string &message, const std::vector<SocketAddress> &targets)
+{
     for (const SocketAddress &target : targets) {
         asio::error_code error;
         const auto ip = asio::ip::make_address(target.m_host, error);
@@ -119,8 +132,8 @@
     m_loop.callAt(Clock::now() + heartbeatInterval, [this] { sendHeartbeat(); });
 }
 
-PeerLink::PeerLink(EventLoop &loop, PeerTable &table)
-    : m_d(std::make_unique<Private>(loop, table))
+PeerLink::PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads)
+    : m_d(std::make_unique<Private>(loop, table, loads))
 {}
 
 PeerLink::~PeerLink() = default;
--- a/src/burdockhead/gateway/peerlink.h
+++ b/src/burdockhead/gateway/peerlink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdockhead/gateway/loadtable.h>
 #include <burdockhead/gateway/peertable.h>
 #include <burdockhead/net/eventloop.h>
 
@@ -15,11 +16,12 @@
 std::string writePeerMessage(const std::vector<PeerRecord> &records);
 std::optional<std::vector<PeerRecord>> readPeerMessage(std::string_view datagram);
 
-// Exchanges the messages of a PeerTable over UDP.
+// Exchanges the messages of a PeerTable and a LoadTable over UDP. A load report follows each
+// heartbeat as a datagram of its own, which gateways that don't know it ignore.
 class PeerLink
 {
 public:
-    PeerLink(EventLoop &loop, PeerTable &table);
+    PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
--- a/src/burdockhead/gateway/servicelimiter.cpp
+++ b/src/burdockhead/gateway/servicelimiter.cpp
@@ -1,6 +1,7 @@
 #include <burdockhead/gateway/servicelimiter.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockhead {
 
@@ -38,13 +39,21 @@
 
 } // namespace
 
+// Counts one request more than there are, so that a gateway without any gets a share.
+std::size_t ServiceLimiter::shareOf(double requests) const
+{
+    const double share =
+        concurrencyShare(requests, m_capacity, static_cast<double>(this->requests() + 1));
+    return std::max(m_capacity.m_minShare, static_cast<std::size_t>(std::ceil(share)));
+}
+
 bool ServiceLimiter::mayStart(TimePoint now) const
 {
     if (m_consecutiveRefusals >= refusalThreshold)
-        return now >= m_pausedUntil && m_running < std::min(m_limit, maxProbes);
+        return now >= m_pausedUntil && m_running < std::min(limit(), maxProbes);
     const bool isSlow =
         m_averageEventInterval > slowThreshold && now < m_lastEventAt + intervalValidFor;
-    return m_running < (isSlow ? m_slowLimit : m_limit);
+    return m_running < (isSlow ? slowLimit() : limit());
 }
 
 void ServiceLimiter::recordEventInterval(Duration interval, Duration maxInterval, TimePoint now)
@@ -94,9 +103,7 @@
 
 Duration ServiceLimiter::expectedWait(std::size_t callsAhead) const
 {
-    const std::size_t effectiveLimit = std::max<std::size_t>(m_limit, 1);
-    return m_averageServiceTime * static_cast<int>(callsAhead + 1)
-           / static_cast<int>(effectiveLimit);
+    return m_averageServiceTime * static_cast<int>(callsAhead + 1) / static_cast<int>(limit());
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/gateway/servicelimiter.h
+++ b/src/burdockhead/gateway/servicelimiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/gateway/callqueue.h>
+#include <burdockhead/gateway/servicecapacity.h>
 #include <burdockhead/gateway/serviceretrybudget.h>
 
 namespace burdockhead {
@@ -17,13 +18,11 @@
         : m_retryBudget(options)
     {}
 
-    // Sets the concurrency limits in general and while events arrive too slowly.
-    void setLimits(std::size_t newLimit, std::size_t slowLimit)
-    {
-        m_limit = newLimit;
-        m_slowLimit = slowLimit;
-    }
-    std::size_t limit() const { return m_limit; }
+    void setCapacity(const ServiceCapacity &capacity) { m_capacity = capacity; }
+
+    // Returns this gateway's concurrency limit, in general and while events arrive too slowly.
+    std::size_t limit() const { return shareOf(m_capacity.m_requests); }
+    std::size_t slowLimit() const { return shareOf(m_capacity.m_slowRequests); }
 
     // Records the time between two events of a stream; `maxInterval` is the longest that is still
     // in time.
@@ -56,12 +55,16 @@
 
     std::size_t running() const { return m_running; }
 
+    // Returns the requests in flight or queued.
+    std::size_t requests() const { return m_running + m_queue.size(); }
+
     CallQueue &queue() { return m_queue; }
     ServiceRetryBudget &retryBudget() { return m_retryBudget; }
 
 private:
-    std::size_t m_limit = 1;
-    std::size_t m_slowLimit = 1;
+    std::size_t shareOf(double requests) const;
+
+    ServiceCapacity m_capacity;
     std::size_t m_running = 0;
     double m_averageEventInterval = 0; // Moving average, as a fraction of the longest interval.
     TimePoint m_lastEventAt;
--- a/tests/internal/gateway/test_servicelimiter.cpp
+++ b/tests/internal/gateway/test_servicelimiter.cpp
@@ -12,6 +12,12 @@
 const ServiceRetryBudgetOptions budgetOptions;
 constexpr Milliseconds maxEventInterval{120};
 
+// The capacity of a service with a single gateway.
+ServiceCapacity capacity(std::size_t requests, std::size_t slowRequests)
+{
+    return {static_cast<double>(requests), static_cast<double>(slowRequests)};
+}
+
 // Simulates streams of a group in lock-step: each step takes longer with each stream, and three
 // times as long for its experts while demand has shifted. Counts streams whose event intervals all
 // stay within the longest, with one gateway that admits all streams.
@@ -21,7 +27,7 @@
     explicit LockStepSimulation(bool hasSlowLimit)
         : m_hasSlowLimit(hasSlowLimit)
     {
-        m_limiter.setLimits(limit, hasSlowLimit ? slowLimit : limit);
+        m_limiter.setCapacity(capacity(limit, hasSlowLimit ? slowLimit : limit));
     }
 
     // Returns the fraction of arrived streams that were in time.
@@ -106,7 +112,7 @@
 BOOST_AUTO_TEST_CASE(the_limit_bounds_concurrent_requests)
 {
     ServiceLimiter limiter(budgetOptions);
-    limiter.setLimits(2, 2);
+    limiter.setCapacity(capacity(2, 2));
     limiter.onStarted();
     BOOST_TEST(limiter.mayStart(start));
     limiter.onStarted();
@@ -119,7 +125,7 @@
 BOOST_AUTO_TEST_CASE(a_service_that_refuses_everything_is_probed_by_one_request_at_a_time)
 {
     ServiceLimiter limiter(budgetOptions);
-    limiter.setLimits(50, 50);
+    limiter.setCapacity(capacity(50, 50));
     TimePoint now = start;
     unsigned sent = 0;
     for (; now < start + Seconds(5); now += Milliseconds(10)) {
@@ -143,7 +149,7 @@
 BOOST_AUTO_TEST_CASE(the_first_event_of_a_stream_ends_the_pause)
 {
     ServiceLimiter limiter(budgetOptions);
-    limiter.setLimits(50, 50);
+    limiter.setCapacity(capacity(50, 50));
     for (int refusal = 0; refusal < 4; ++refusal)
         limiter.onRefused(start);
     const TimePoint later = start + Seconds(1);
@@ -160,7 +166,7 @@
 {
     constexpr std::size_t slowLimit = 10;
     ServiceLimiter limiter(budgetOptions);
-    limiter.setLimits(50, slowLimit);
+    limiter.setCapacity(capacity(50, slowLimit));
     for (int refusal = 0; refusal < 4; ++refusal)
         limiter.onRefused(start);
     const TimePoint later = start + Seconds(1);
@@ -178,7 +184,7 @@
 BOOST_AUTO_TEST_CASE(clients_of_a_service_that_refuses_everything_retry_later)
 {
     ServiceLimiter limiter(budgetOptions);
-    limiter.setLimits(50, 50);
+    limiter.setCapacity(capacity(50, 50));
     const Milliseconds defaultDelay = limiter.retryDelay();
     for (int refusal = 0; refusal < 4; ++refusal)
         limiter.onRefused(start);
