--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -124,6 +124,19 @@
     }
 }
 
+void CallRouter::setSlowness(std::map<SocketAddress, double> factors)
+{
+    const bool isAnySlow = !factors.empty();
+    m_dependencies.m_endpoints.setSlowness(std::move(factors));
+    if (!isAnySlow)
+        return;
+    std::vector<std::shared_ptr<ProxiedCall>> calls;
+    for (const auto &[id, call] : m_calls)
+        calls.push_back(call);
+    for (const auto &call : calls)
+        call->moveFromSlowEndpoint();
+}
+
 void CallRouter::enqueue(const GroupName &service, const QueuedCall &queuedCall)
 {
     limiter(service).queue().push(queuedCall);
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -57,6 +57,10 @@
     // requests.
     void refresh();
 
+    // Sets how much slower than healthy ones some endpoints are, and moves streams away from those
+    // that hold up all others.
+    void setSlowness(std::map<SocketAddress, double> factors);
+
     std::size_t openRequests() const { return m_calls.size(); }
 
     // Returns the requests of each service that has any.
--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -33,12 +33,6 @@
     return subset;
 }
 
-double relativeLoad(const KnownEndpoint &endpoint)
-{
-    const double load = endpoint.m_inFlight + failurePenalty * endpoint.m_breaker.failureRate();
-    return load / std::max(1U, endpoint.m_registration.m_slots);
-}
-
 void erase(std::vector<KnownEndpointPointer> &endpoints, const KnownEndpointPointer &endpoint)
 {
     endpoints.erase(std::remove(endpoints.begin(), endpoints.end(), endpoint), endpoints.end());
@@ -144,6 +138,20 @@
     return matches;
 }
 
+double EndpointTable::slownessOf(const KnownEndpoint &endpoint) const
+{
+    const auto found = m_slowness.find(endpoint.m_registration.m_address);
+    return found == m_slowness.end() ? 1 : found->second;
+}
+
+// Returns the load with a further request, per slot of a healthy endpoint.
+double EndpointTable::relativeLoad(const KnownEndpoint &endpoint) const
+{
+    const double requests =
+        endpoint.m_inFlight + 1 + failurePenalty * endpoint.m_breaker.failureRate();
+    return requests * slownessOf(endpoint) / std::max(1U, endpoint.m_registration.m_slots);
+}
+
 KnownEndpointPointer EndpointTable::select(const EndpointCriteria &criteria, TimePoint now)
 {
     const std::vector<KnownEndpointPointer> allEndpoints = usableEndpoints(criteria.m_service, now);
@@ -196,15 +204,15 @@
         --endpoint.m_inFlight;
 }
 
-unsigned EndpointTable::usableSlots(const GroupName &service, TimePoint now) const
+double EndpointTable::usableSlots(const GroupName &service, TimePoint now) const
 {
-    unsigned totalSlots = 0;
+    double totalSlots = 0;
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return totalSlots;
     for (const auto &endpoint : found->second) {
         if (isUsable(*endpoint, now))
-            totalSlots += endpoint->m_registration.m_slots;
+            totalSlots += endpoint->m_registration.m_slots / slownessOf(*endpoint);
     }
     return totalSlots;
 }
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -42,9 +42,10 @@
     std::optional<GatewayPosition> m_position = {};
 };
 
-// Holds all endpoints from service discovery and selects one per request: the one with the fewest
-// requests in flight per slot, penalised for failures. Protects ranks in lock-step, where
-// every step takes as long as on the rank with the most requests.
+// Holds all endpoints from service discovery and selects one per request: the one where a further
+// request takes the least time by its requests in flight per slot and its slowness, penalised for
+// failures. Protects ranks in lock-step, where every step takes as long as on the rank with the
+// most work, or on the slowest.
 //
 // A gateway sees only its own requests. Where many gateways share many endpoints, each prefers a
 // subset shared with a few others, so that it sees a large part of their load and keeps its
@@ -69,6 +70,12 @@
     }
     std::set<DataCentreName> dataCentresOut() const { return m_dataCentresOut; }
 
+    // Sets how much slower than healthy ones some endpoints are, by their addresses.
+    void setSlowness(std::map<SocketAddress, double> factors) { m_slowness = std::move(factors); }
+
+    // Returns the factor for an endpoint; 1 for a healthy one.
+    double slownessOf(const KnownEndpoint &endpoint) const;
+
     // Returns the endpoint for the request; null if none is eligible.
     KnownEndpointPointer select(const EndpointCriteria &criteria, TimePoint now);
 
@@ -76,8 +83,8 @@
     void onRequestSent(KnownEndpoint &endpoint, TimePoint now);
     void onRequestEnded(KnownEndpoint &endpoint);
 
-    // Returns the total slots of the service's usable endpoints.
-    unsigned usableSlots(const GroupName &service, TimePoint now) const;
+    // Returns the total slots of the service's usable endpoints; those of a slow one count less.
+    double usableSlots(const GroupName &service, TimePoint now) const;
 
     // Returns the number of usable endpoints of the service, whatever the state of their breakers.
     std::size_t usableCount(const GroupName &service, TimePoint now) const;
@@ -94,11 +101,13 @@
                                                       TimePoint now) const;
     KnownEndpointPointer leastLoaded(const std::vector<KnownEndpointPointer> &candidates,
                                      const EndpointCriteria &criteria, TimePoint now);
+    double relativeLoad(const KnownEndpoint &endpoint) const;
     void markReplaced(const KnownEndpointPointer &endpoint);
 
     std::map<EndpointName, KnownEndpointPointer> m_endpoints;
     std::map<GroupName, std::vector<KnownEndpointPointer>> m_byService;
     std::set<DataCentreName> m_dataCentresOut;
+    std::map<SocketAddress, double> m_slowness;
     Random m_random;
 };
 
--- a/src/burdockhead/gateway/gatewayload.h
+++ b/src/burdockhead/gateway/gatewayload.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/base/name.h>
+#include <burdockhead/gateway/endpointslowness.h>
 
 #include <cstdint>
 #include <vector>
@@ -23,6 +24,7 @@
     std::uint64_t m_incarnation = 0; // Increases with each start of the process.
     std::uint64_t m_sequence = 0;    // Increases with each report of the process.
     std::vector<ServiceLoad> m_services;
+    std::vector<EndpointSlowness> m_slowEndpoints; // That coordinators have told this gateway.
 
     friend bool operator==(const GatewayLoad &, const GatewayLoad &) = default;
 };
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/gateway/gatewayprocess.h>
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
+#include <burdockhead/gateway/rankreports.h>
 #include <burdockhead/gateway/storefollower.h>
 #include <burdockhead/observe/log.h>
 #include <burdockhead/process/processstart.h>
@@ -70,6 +71,9 @@
     void handleReadiness(HttpExchange &exchange);
     void handleAddresses(HttpExchange &exchange);
     void handleMetrics(HttpExchange &exchange);
+    void handleCoordinator(const std::shared_ptr<HttpExchange> &exchange);
+    void handleRankReport(HttpExchange &exchange);
+    void updateLoads();
 
     GatewaySettings m_settings;
     const GatewayProtocols m_protocols;
@@ -82,6 +86,7 @@
     EndpointTable m_endpoints;
     PeerTable m_peers;
     LoadTable m_loads;
+    RankReports m_rankReports;
     PeerLink m_peerLink;
     CallRouter m_router;
     StoreOutage m_storeOutage;
@@ -135,7 +140,7 @@
     , m_directoryListener(m_loop, [this](const auto &exchange) { handleAddresses(*exchange); })
     , m_metricsListener(m_loop, [this](const auto &exchange) { handleMetrics(*exchange); })
     , m_orderRelay(m_loop, m_endpointClient, m_endpoints, m_log)
-    , m_orderListener(m_loop, [this](const auto &exchange) { m_orderRelay.handle(exchange); })
+    , m_orderListener(m_loop, [this](const auto &exchange) { handleCoordinator(exchange); })
 {}
 
 StoreFollowerDependencies GatewayProcess::followerParts()
@@ -320,7 +325,7 @@
     exchangeRevisions();
     m_endpoints.removeExpired(Clock::now());
     m_router.refresh();
-    m_loads.setLocal(m_router.load());
+    updateLoads();
     m_loop.callAt(Clock::now() + updateInterval, [this] { refresh(); });
 }
 
@@ -421,6 +426,42 @@
     exchange.answer(response.m_status, response.m_headers, response.m_body);
 }
 
+// Requests of groups' coordinators: orders to be relayed to a rank, and reports on ranks.
+void GatewayProcess::handleCoordinator(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (exchange->head().m_target == rankReportTarget)
+        handleRankReport(*exchange);
+    else
+        m_orderRelay.handle(exchange);
+}
+
+void GatewayProcess::handleRankReport(HttpExchange &exchange)
+{
+    const auto report = readRankReport(exchange.body());
+    if (!report) {
+        m_log.add("rank_report_unreadable", {{"bytes", std::to_string(exchange.body().size())}});
+        exchange.answer(400, {}, "");
+        return;
+    }
+    const bool isNew = m_rankReports.record(*report, Clock::now());
+    exchange.answer(200, {}, "");
+    if (!isNew)
+        return;
+    m_log.add("rank_report", {{"group", report->m_group},
+                              {"slow_ranks", std::to_string(report->m_slowRanks.size())}});
+    updateLoads();
+    m_peerLink.broadcast();
+}
+
+// Publishes this gateway's load, and applies what is known of slow endpoints.
+void GatewayProcess::updateLoads()
+{
+    const TimePoint now = Clock::now();
+    m_loads.setServices(m_router.load());
+    m_loads.setSlowEndpoints(m_rankReports.slowRanks(now));
+    m_router.setSlowness(m_loads.slowEndpoints(now));
+}
+
 void GatewayProcess::handleMetrics(HttpExchange &exchange)
 {
     m_metrics.gauge("burdockhead_gateway_open_requests")
--- a/src/burdockhead/gateway/loadmessage.cpp
+++ b/src/burdockhead/gateway/loadmessage.cpp
@@ -10,6 +10,16 @@
 constexpr std::uint64_t messageVersion = 3;
 constexpr std::size_t maxReports = 128;
 constexpr std::size_t maxServices = 64;
+constexpr std::size_t maxSlowEndpoints = 1024;
+
+EndpointSlowness readSlowness(MessageReader &reader)
+{
+    const auto address = SocketAddress::parse(reader.text());
+    const double factor = reader.real();
+    if (!address || !(factor >= 1))
+        reader.fail();
+    return {address.value_or(SocketAddress()), factor};
+}
 
 } // namespace
 
@@ -24,6 +34,9 @@
             .number(report.m_services.size());
         for (const ServiceLoad &load : report.m_services)
             writer.text(load.m_service.text()).number(load.m_requests);
+        writer.number(report.m_slowEndpoints.size());
+        for (const EndpointSlowness &endpoint : report.m_slowEndpoints)
+            writer.text(endpoint.m_address.toString()).real(endpoint.m_factor);
     }
     return writer.take();
 }
@@ -43,6 +56,9 @@
             load.m_service = GroupName(reader.text());
             load.m_requests = reader.number();
         }
+        report.m_slowEndpoints.resize(reader.listLength(maxSlowEndpoints));
+        for (EndpointSlowness &endpoint : report.m_slowEndpoints)
+            endpoint = readSlowness(reader);
     }
     if (!reader.complete())
         return std::nullopt;
--- a/src/burdockhead/gateway/loadtable.cpp
+++ b/src/burdockhead/gateway/loadtable.cpp
@@ -10,7 +10,7 @@
 // Reports of other gateways in a message, so that it fits into one packet in a large fleet.
 constexpr std::size_t maxForwardedReports = 23;
 // A report counts for as long as it takes to reach every gateway of a large fleet, and then some.
-constexpr Milliseconds reportValidFor{2000};
+constexpr Milliseconds reportValidFor{3000};
 // An expired report is remembered for this time, so that a copy that other gateways still forward
 // doesn't count as news.
 constexpr Milliseconds rememberedFor{60000};
@@ -23,15 +23,20 @@
 } // namespace
 
 LoadTable::LoadTable(ProcessName localName, std::uint64_t incarnation, Random seed)
-    : m_local{std::move(localName), incarnation, 0, {}}
+    : m_local{std::move(localName), incarnation, 0, {}, {}}
     , m_random(seed)
 {}
 
-void LoadTable::setLocal(std::vector<ServiceLoad> services)
+void LoadTable::setServices(std::vector<ServiceLoad> services)
 {
     m_local.m_services = std::move(services);
 }
 
+void LoadTable::setSlowEndpoints(std::vector<EndpointSlowness> endpoints)
+{
+    m_local.m_slowEndpoints = std::move(endpoints);
+}
+
 std::vector<GatewayLoad> LoadTable::reportsToSend(TimePoint now)
 {
     std::vector<GatewayLoad> reports;
@@ -73,4 +78,19 @@
     return load;
 }
 
+std::map<SocketAddress, double> LoadTable::slowEndpoints(TimePoint now) const
+{
+    std::map<SocketAddress, double> factors;
+    const auto merge = [&](const std::vector<EndpointSlowness> &endpoints) {
+        for (const EndpointSlowness &endpoint : endpoints)
+            factors[endpoint.m_address] = std::max(factors[endpoint.m_address], endpoint.m_factor);
+    };
+    merge(m_local.m_slowEndpoints);
+    for (const auto &[name, received] : m_received) {
+        if (now < received.m_validUntil)
+            merge(received.m_load.m_slowEndpoints);
+    }
+    return factors;
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/gateway/loadtable.h
+++ b/src/burdockhead/gateway/loadtable.h
@@ -27,8 +27,9 @@
 public:
     LoadTable(ProcessName localName, std::uint64_t incarnation, Random seed);
 
-    // Sets the load of this gateway.
-    void setLocal(std::vector<ServiceLoad> services);
+    // Set what the next report of this gateway says.
+    void setServices(std::vector<ServiceLoad> services);
+    void setSlowEndpoints(std::vector<EndpointSlowness> endpoints);
 
     // Returns the next report of this gateway and recent ones of others.
     std::vector<GatewayLoad> reportsToSend(TimePoint now);
@@ -38,6 +39,9 @@
 
     LoadElsewhere elsewhere(const GroupName &service, TimePoint now) const;
 
+    // Returns the slow endpoints that any gateway knows, with the factor of each.
+    std::map<SocketAddress, double> slowEndpoints(TimePoint now) const;
+
 private:
     struct ReceivedLoad
     {
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -20,6 +20,8 @@
 constexpr Milliseconds maxIdleRepeatable{4000};
 // Size limit of a buffered response.
 constexpr std::size_t maxResponseBytes = 16777216;
+// Slowness of an endpoint above which its streams are worth reading their prompts again elsewhere.
+constexpr double minSlownessToMove = 3;
 // Minimum time reserved for the first event of a stream, including the way to the client. A client
 // that times out doesn't retry; one that is refused before does.
 constexpr Milliseconds minFirstEventTime{250};
@@ -459,6 +461,28 @@
     return canRetry;
 }
 
+void ProxiedCall::moveFromSlowEndpoint()
+{
+    const GatewayDependencies &dependencies = m_router.dependencies();
+    const TimePoint now = Clock::now();
+    if (!m_endpoint || m_route.m_kind != RouteKind::Stream || !m_route.isRepeatable()
+        || dependencies.m_endpoints.slownessOf(*m_endpoint) < minSlownessToMove
+        || m_attempts + 1 >= m_route.m_maxAttempts
+        || !m_router.limiter(m_service).retryBudget().tryAcquire(
+            dependencies.m_peers.gatewayCount(now), now))
+        return;
+    dependencies.m_log.add("moved", {{"request", m_attributes.m_id},
+                                     {"endpoint", m_lastEndpoint.text()},
+                                     {"reason", "endpoint is slow"},
+                                     {"elapsed_ms", toText(elapsed())}});
+    ++m_attempts;
+    m_mayHaveRun = true;
+    m_call.reset();
+    m_triedEndpoints.push_back(m_lastEndpoint);
+    releaseEndpoint(false);
+    sendOrQueue();
+}
+
 HttpHeaders ProxiedCall::clientHeaders(const HttpHead &response) const
 {
     HttpHeaders headers;
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -35,6 +35,10 @@
     // Sends the request to an endpoint; false if none is eligible now.
     bool dispatch();
 
+    // Resumes the response at another endpoint if its own has become so slow that it holds up the
+    // others of its group, and if the route and the retry budget allow it.
+    void moveFromSlowEndpoint();
+
 private:
     void callHead(const HttpHead &head) override;
     void callBody(std::string_view bytes) override;
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -113,18 +113,16 @@
     , m_coordinator(
           {m_loop, m_agentClient, protocols.m_engine, m_log, m_metrics, settings.m_gateways},
           Random(systemSeed()))
-    , m_configurationFollower(followerDependencies(), StoreCollection::Configuration,
-                              {[this](const auto &configurations, TimePoint) {
-                                   applyShape(configurations);
-                               },
-                               [](const auto &, TimePoint) { return false; }},
-                              Random(systemSeed()))
-    , m_endpointFollower(followerDependencies(), StoreCollection::Endpoints,
-                         {[this](const auto &changes, TimePoint) { applyEndpoints(changes, true); },
-                          [this](const auto &changes, TimePoint) {
-                              return applyEndpoints(changes, false);
-                          }},
-                         Random(systemSeed()))
+    , m_configurationFollower(
+          followerDependencies(), StoreCollection::Configuration,
+          {[this](const auto &configurations, TimePoint) { applyShape(configurations); },
+           [](const auto &, TimePoint) { return false; }},
+          Random(systemSeed()))
+    , m_endpointFollower(
+          followerDependencies(), StoreCollection::Endpoints,
+          {[this](const auto &changes, TimePoint) { applyEndpoints(changes, true); },
+           [this](const auto &changes, TimePoint) { return applyEndpoints(changes, false); }},
+          Random(systemSeed()))
     , m_listener(m_loop, [this](const auto &exchange) { handle(exchange); })
 {}
 
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -61,7 +61,8 @@
 constexpr Milliseconds mapTimeout{300};
 // Orders to prepare are repeated after this; loading takes up to about a second.
 constexpr Milliseconds prepareRetryInterval{600};
-// Pause after a change, so that its effect is counted before the next plan.
+// Pause after a plan that found no change worth its loads; the demand shows more of itself
+// meanwhile.
 constexpr Milliseconds planInterval{700};
 
 constexpr int statusOk = 200;
@@ -246,6 +247,7 @@
             m_rankSampler.recordReading(rank, hasAnyCount(counts), Clock::now());
         if (m_demand)
             m_demand->add(status->m_counts);
+        m_slownessReporter.record(rank, addresses.m_engine, status->m_snapshot.m_slowness);
         if (m_isFullRound) {
             m_rankAddresses[rank] = addresses;
             m_ranks[rank] = *status;
@@ -266,6 +268,7 @@
     if (snapshot && snapshot->m_group == m_group) {
         m_rankAddresses[snapshot->m_rank] = addresses;
         m_ranks[snapshot->m_rank] = {*snapshot, {}, {}};
+        m_slownessReporter.record(snapshot->m_rank, addresses.m_engine, snapshot->m_slowness);
     }
     finishPoll();
 }
@@ -348,6 +351,7 @@
 {
     if (!m_group || !m_shape || !m_demand)
         return;
+    reportSlowRanks();
     if (m_demand->endRound()) {
         m_dependencies.m_log.add(
             "demand_shifted",
@@ -594,6 +598,21 @@
         ++m_pendingOrders;
 }
 
+// Tells the gateways which ranks are slow; they spread it among them.
+void RankCoordinator::reportSlowRanks()
+{
+    const auto slowRanks = m_slownessReporter.nextReport(Clock::now());
+    if (!slowRanks)
+        return;
+    m_dependencies.m_log.add("slow_ranks",
+                             {{"group", *m_group}, {"count", std::to_string(slowRanks->size())}});
+    for (const SocketAddress &gateway : m_dependencies.m_gateways)
+        m_orderCalls.push_back(std::make_unique<ShortCall>(
+            m_dependencies.m_loop, m_dependencies.m_client, gateway, "POST", rankReportTarget,
+            writeRankReport({*m_group, *slowRanks}), Clock::now() + orderTimeout,
+            [](ShortCall &) {}));
+}
+
 // Sends an order to hold through a gateway, since no rank runs on its VM. Returns false when the
 // order must be sent directly.
 bool RankCoordinator::sendByRelay(const RankOrderMessage &message)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -11,6 +11,7 @@
 #include <burdockhead/rankagent/rankmessages.h>
 #include <burdockhead/rankagent/ranksampler.h>
 #include <burdockhead/rankagent/relayselector.h>
+#include <burdockhead/rankagent/slownessreporter.h>
 
 #include <map>
 #include <memory>
@@ -94,6 +95,7 @@
     void send(const std::vector<RankOrder> &orders);
     void send(const RankOrderMessage &message, TimePoint deadline);
     bool sendByRelay(const RankOrderMessage &message);
+    void reportSlowRanks();
     static bool canAwaitReplies(const RolloutDecision &decision);
     void onOrderReply(const RankOrder &order, int status);
     bool isRank0PresentOrUnresponsive() const;
@@ -112,6 +114,7 @@
     RankSampler m_rankSampler;
     MapRollout m_rollout;
     RelaySelector m_relaySelector;
+    SlownessReporter m_slownessReporter;
     std::optional<Plan> m_plan;
     std::map<std::uint32_t, RankStatus> m_ranks;            // Of the last full round.
     std::map<std::uint32_t, RankAddresses> m_rankAddresses; // Of the last full round.
--- /dev/null
+++ b/src/burdockhead/rankagent/slownessreporter.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <burdockhead/base/timepoint.h>
+#include <burdockhead/gateway/endpointslowness.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace burdockhead {
+
+// Decides when a group's coordinator tells gateways which ranks are slow. All streams of a group
+// wait for its slowest rank in each step, so gateways have to send that rank less at once. Reports
+// are repeated while a rank is slow, since a gateway forgets them soon.
+class SlownessReporter
+{
+public:
+    // Records what a rank's engine reports of itself.
+    void record(std::uint32_t rank, const SocketAddress &engine, double factor);
+
+    // Returns the ranks to report now, which may be none; no value if nothing needs to be said.
+    std::optional<std::vector<EndpointSlowness>> nextReport(TimePoint now);
+
+private:
+    std::map<std::uint32_t, EndpointSlowness> m_slowRanks;
+    std::vector<EndpointSlowness> m_reported;
+    TimePoint m_repeatAt;
+};
+
+} // namespace burdockhead
--- a/tests/internal/gateway/test_endpointtable.cpp
+++ b/tests/internal/gateway/test_endpointtable.cpp
@@ -200,6 +200,40 @@
     BOOST_TEST(table.select({service, limit, {}}, start + Milliseconds(1000)));
 }
 
+// A group in lock-step with a rank that takes twelve times as long for all work: each step takes as
+// long as that rank with its requests.
+BOOST_AUTO_TEST_CASE(a_slow_rank_gets_no_requests_while_others_have_room)
+{
+    constexpr int ranks = 12;
+    constexpr double factor = 12;
+    constexpr int requests = 84;
+    const auto stepTime = [&](bool knowsSlowness) {
+        EndpointTable table = tableOf(ranks);
+        if (knowsSlowness)
+            table.setSlowness({{registration(4).m_address, factor}});
+        for (int request = 0; request < requests; ++request)
+            table.onRequestSent(*table.select({service, 0, {}}, start), start);
+        double longest = 0;
+        for (const auto &[name, endpoint] : table.endpoints()) {
+            const bool isSlow = name == registration(4).m_name;
+            longest = std::max(longest, endpoint->m_inFlight * (isSlow ? factor : 1));
+        }
+        return longest;
+    };
+    BOOST_TEST(stepTime(true) <= 8);
+    BOOST_TEST(stepTime(false) >= 7 * factor);
+}
+
+BOOST_AUTO_TEST_CASE(a_somewhat_slower_rank_gets_fewer_requests)
+{
+    EndpointTable table = tableOf(2);
+    table.setSlowness({{registration(1).m_address, 2}});
+    for (int request = 0; request < 12; ++request)
+        table.onRequestSent(*table.select({service, 0, {}}, start), start);
+    BOOST_TEST(table.find(EndpointName("e1"))->m_inFlight == 4U);
+    BOOST_TEST(table.usableSlots(service, start) == 1.5 * slots);
+}
+
 // An endpoint fails part of its requests while its health checks pass.
 BOOST_AUTO_TEST_CASE(an_endpoint_that_fails_often_gets_fewer_requests)
 {
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -31,6 +31,7 @@
 
 GatewayFixture::GatewayFixture()
     : m_clients(freeLoopbackAddress())
+    , m_peers(freeLoopbackAddress())
     , m_folder(std::filesystem::temp_directory_path()
                / ("gateway-test-" + std::to_string(m_clients.m_port)))
     , m_readiness(freeLoopbackAddress())
@@ -76,7 +77,7 @@
     std::ofstream(settings) << "[process]\nname = g1\ndata_centre = a\n[listen]\nclients = "
                             << m_clients.toString() << "\nreadiness = " << m_readiness.toString()
                             << "\ndirectory = " << m_directory.toString()
-                            << "\npeers = " << freeLoopbackAddress().toString()
+                            << "\npeers = " << m_peers.toString()
                             << "\nmetrics = " << freeLoopbackAddress().toString()
                             << "\n[store]\naddress = " << m_store.address().toString()
                             << "\n[bounds]\nretry_burst = 160\nstop_grace_s = 5\n";
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -81,6 +81,7 @@
     std::vector<std::unique_ptr<EndpointStandIn>> m_app;
     std::unique_ptr<ChildProcess> m_gateway;
     SocketAddress m_clients;
+    SocketAddress m_peers;
 
 private:
     std::unique_ptr<ClientCall> query(const SocketAddress &address, const std::string &target);
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "freeport.h"
 #include "gatewayfixture.h"
+#include <burdockhead/gateway/endpointslowness.h>
 #include <burdockhead/http/httprequest.h>
 
 #include <algorithm>
@@ -67,6 +68,28 @@
     BOOST_TEST(!m_llm[0]->ran().empty());
 }
 
+// A rank turns so slow that it holds up its group.
+BOOST_AUTO_TEST_CASE(a_stream_moves_away_from_an_endpoint_that_is_reported_as_slow)
+{
+    start();
+    for (const auto &endpoint : m_llm)
+        endpoint->setDelay(Milliseconds(100));
+    const auto stream = call("POST", "/stream/x");
+    waitUntil([&] { return runCount("llm") == 1; });
+    waitFor(Milliseconds(250));
+    const auto &slow = m_llm[0]->ran().empty() ? m_llm[1] : m_llm[0];
+    const std::string report = writeRankReport({"g0", {{slow->address(), 12}}});
+    HttpClientPool pool(m_loop);
+    ClientCall reported(pool, m_peers, "POST", rankReportTarget, {{"Host", "gateway"}}, report);
+    waitUntil([&] { return reported.hasEnded() && stream->hasEnded(); });
+    BOOST_TEST(reported.status() == 200);
+    BOOST_TEST(stream->isComplete());
+    BOOST_TEST(stream->body() == EndpointStandIn::events(1, EndpointStandIn::lastEvent));
+    BOOST_TEST(m_llm[0]->ran().size() == 1U);
+    BOOST_TEST(m_llm[1]->ran().size() == 1U);
+    BOOST_TEST(slow->clientsGone() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_is_not_resumable_ends_when_it_breaks)
 {
     start();
