--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -55,9 +55,10 @@
     }
 }
 
-// Applies a layer's next move unless a rank would then load more than the limits allow.
+// Applies a layer's next move unless a rank would then load more than the limits allow, or more
+// than `maxLoadsPerRank` in all layers.
 bool applyNextMove(LayerPlan &plan, const LayerPlacement &current, const MapChangeLimits &limits,
-                   NewExpertCounts &newInAllLayers)
+                   std::size_t maxLoadsPerRank, NewExpertCounts &newInAllLayers)
 {
     if (plan.m_applied == plan.m_moves.size())
         return false;
@@ -67,7 +68,7 @@
         const std::size_t rank = change.m_rank;
         return plan.m_newByRank[rank] > static_cast<std::ptrdiff_t>(limits.m_maxLoadsPerLayer)
                || (change.m_isAdded
-                   && newInAllLayers[rank] > static_cast<std::ptrdiff_t>(limits.m_maxLoadsPerRank));
+                   && newInAllLayers[rank] > static_cast<std::ptrdiff_t>(maxLoadsPerRank));
     };
     if (std::any_of(move.m_changes.begin(), move.m_changes.end(), exceedsLimit)) {
         addNewExperts(plan, move, current, newInAllLayers, -1);
@@ -78,32 +79,48 @@
     return true;
 }
 
-} // namespace
-
-std::optional<ExpertMap> planMapChange(const ExpertMap &current, const GroupLoads &loads,
-                                       const MapChangeLimits &limits)
+// Applies moves until a rank would load more than that, and returns the map.
+ExpertMap applyMoves(std::vector<LayerPlan> plans, const ExpertMap &current,
+                     const MapChangeLimits &limits, std::size_t maxLoadsPerRank)
 {
-    std::vector<LayerPlan> plans;
-    for (std::size_t layer = 0; layer < current.m_layers.size(); ++layer)
-        plans.push_back({current.m_layers[layer], NewExpertCounts(limits.m_shape.m_rankCount, 0),
-                         planLayerMoves(current.m_layers[layer], loads.m_layers[layer], limits),
-                         0});
     NewExpertCounts newInAllLayers(limits.m_shape.m_rankCount, 0);
     // Round robin over the layers, since the first moves of each remove the most skew.
     for (bool hasMoved = true; hasMoved;) {
         hasMoved = false;
         for (std::size_t layer = 0; layer < plans.size(); ++layer)
-            hasMoved |=
-                applyNextMove(plans[layer], current.m_layers[layer], limits, newInAllLayers);
+            hasMoved |= applyNextMove(plans[layer], current.m_layers[layer], limits,
+                                      maxLoadsPerRank, newInAllLayers);
     }
     ExpertMap planned = current;
     for (std::size_t layer = 0; layer < plans.size(); ++layer)
         planned.m_layers[layer] = std::move(plans[layer].m_placement);
-    const double before = skewOf(current, loads, limits.m_shape);
-    const double after = skewOf(planned, loads, limits.m_shape);
-    if (before - after < limits.m_minSkewReduction)
-        return std::nullopt;
     return planned;
 }
 
+} // namespace
+
+std::optional<ExpertMap> planMapChange(const ExpertMap &current, const GroupLoads &loads,
+                                       const MapChangeLimits &limits)
+{
+    std::vector<LayerPlan> plans;
+    for (std::size_t layer = 0; layer < current.m_layers.size(); ++layer)
+        plans.push_back({current.m_layers[layer], NewExpertCounts(limits.m_shape.m_rankCount, 0),
+                         planLayerMoves(current.m_layers[layer], loads.m_layers[layer], limits),
+                         0});
+    const double before = skewOf(current, loads, limits.m_shape);
+    std::optional<ExpertMap> best;
+    double bestRate = 0;
+    for (std::size_t maxLoads = 1; maxLoads <= limits.m_maxLoadsPerRank; ++maxLoads) {
+        ExpertMap planned = applyMoves(plans, current, limits, maxLoads);
+        const double reduction = before - skewOf(planned, loads, limits.m_shape);
+        const double duration = static_cast<double>(limits.m_changeTime.count())
+                                + limits.m_loadMilliseconds * static_cast<double>(maxLoads);
+        if (reduction < limits.m_minSkewReduction || reduction / duration <= bestRate)
+            continue;
+        bestRate = reduction / duration;
+        best = std::move(planned);
+    }
+    return best;
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/mapplanner.h
+++ b/src/burdockhead/rankagent/mapplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdockhead/base/timepoint.h>
 #include <burdockhead/expertmap/grouploads.h>
 
 #include <cstddef>
@@ -14,15 +15,19 @@
     std::size_t m_maxLoadsPerLayer = 0; // Experts of one layer that a rank may load in a change.
     // Experts of all layers that a rank may load; the rank with the most loads sets the duration.
     std::size_t m_maxLoadsPerRank = 3;
+    Milliseconds m_changeTime{200};  // Duration of a change without its loads.
+    double m_loadMilliseconds = 0;   // Time for a rank to load one expert.
     double m_skewTolerance = 0.1;    // Overload above the mean below which a layer isn't changed.
     double m_minSkewReduction = 0.1; // Skew that a change must remove to be worthwhile.
 
     friend bool operator==(const MapChangeLimits &, const MapChangeLimits &) = default;
 };
 
-// Plans the next map towards an even load, with as many moves as one change allows. Returns none
-// when it would remove too little skew. A few experts are in high demand, and which ones changes
-// within seconds, so a change has to be small enough to load in time.
+// Plans the next map towards an even load: the change that removes the most skew per time until it
+// is in use. Returns none when it would remove too little skew. A few experts are in high demand,
+// which ones changes within seconds, and each step takes several times as long until the map
+// follows. So after a shift a small change that is soon in use comes first, and larger ones after
+// it.
 std::optional<ExpertMap> planMapChange(const ExpertMap &current, const GroupLoads &loads,
                                        const MapChangeLimits &limits);
 
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -43,8 +43,10 @@
 constexpr Milliseconds fullRoundInterval{700};
 // Time in which a change should be loaded, since some seconds pass between two shifts, and the
 // lowest limit of experts that a rank may load for it.
-constexpr double loadBudgetMilliseconds = 350;
-constexpr std::size_t minLoadsPerRank = 3;
+constexpr double loadBudgetMilliseconds = 150;
+constexpr std::size_t minLoadsPerRank = 1;
+// Duration of a change without its loads: polls, the hold, and arming.
+constexpr Milliseconds changeTime{200};
 // An agent replies within a few milliseconds on the local network.
 constexpr Milliseconds statusTimeout{120};
 // The VM of rank 0 counts as frozen when its agent has polled no other agent for this long. While a
@@ -63,7 +65,7 @@
 constexpr Milliseconds prepareRetryInterval{600};
 // Pause after a plan that found no change worth its loads; the demand shows more of itself
 // meanwhile.
-constexpr Milliseconds planInterval{700};
+constexpr Milliseconds planInterval{150};
 
 constexpr int statusOk = 200;
 constexpr int firstFailureStatus = 400;
@@ -414,7 +416,7 @@
                                   {"step", std::to_string(rankSnapshots.front().m_step)}});
         m_dependencies.m_metrics.counter("burdockhead_map_changes_total").add();
         m_plan.reset();
-        m_nextPlanAt = Clock::now() + planInterval;
+        m_nextFullRoundAt = {}; // A further change may be worthwhile.
     }
     m_pendingOrders = 0;
     m_hasFailedOrder = false;
@@ -511,10 +513,14 @@
     const double affordableLoads =
         loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
     limits.m_maxLoadsPerRank = std::max(minLoadsPerRank, static_cast<std::size_t>(affordableLoads));
+    limits.m_changeTime = changeTime;
+    limits.m_loadMilliseconds = m_shape->m_loadMilliseconds;
     auto planned = isForced ? (current ? current : newestKnownMap())
                             : planMapChange(*current, m_demand->loads(), limits);
-    if (!planned)
+    if (!planned) {
+        m_nextPlanAt = Clock::now() + planInterval;
         return;
+    }
     const ExpertMap currentMap = current.value_or(*planned);
     // Derived from the clock, so that a version is never reused for a different map: an order to
     // load one may be executed after the process that sent it has restarted.
--- a/tests/internal/rankagent/test_mapplanner.cpp
+++ b/tests/internal/rankagent/test_mapplanner.cpp
@@ -41,6 +41,36 @@
     return newExperts;
 }
 
+// Simulates changes of the map one after the other while demand shifts every 3.4 s, with loads that
+// take 142 ms each. Returns the mean skew over time.
+double meanSkewOverTime(MapChangeLimits changeLimits)
+{
+    constexpr double shiftInterval = 3400;
+    constexpr double loadMilliseconds = 142;
+    constexpr std::size_t shifts = 12;
+    ExpertMap map = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
+    double sum = 0;
+    for (std::size_t shift = 0; shift < shifts; ++shift) {
+        const GroupLoads loads = demand(shift * 11);
+        double remaining = shiftInterval;
+        while (const auto planned = planMapChange(map, loads, changeLimits)) {
+            const auto newExperts = newExpertsByRank(map, *planned);
+            const std::size_t loadsPerRank =
+                *std::max_element(newExperts.begin(), newExperts.end());
+            const double duration =
+                std::min(remaining, static_cast<double>(changeLimits.m_changeTime.count())
+                                        + loadMilliseconds * static_cast<double>(loadsPerRank));
+            sum += skewOf(map, loads, ranks) * duration;
+            remaining -= duration;
+            if (remaining <= 0)
+                break;
+            map = *planned;
+        }
+        sum += skewOf(map, loads, ranks) * std::max(remaining, 0.0);
+    }
+    return sum / (shiftInterval * shifts);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Planner)
@@ -76,6 +106,18 @@
     }
 }
 
+// Load pattern: demand that shifts every few seconds, loads that take longer than the rest of a
+// change.
+BOOST_AUTO_TEST_CASE(small_changes_that_are_soon_in_use_keep_the_skew_lower_over_time)
+{
+    MapChangeLimits perTime = limits;
+    perTime.m_loadMilliseconds = 142;
+    const double small = meanSkewOverTime(perTime);
+    const double whole = meanSkewOverTime(limits);
+    BOOST_TEST(small < 0.95 * whole, small << ", with the largest changes first " << whole);
+    BOOST_TEST_MESSAGE(small << ", with the largest changes first " << whole);
+}
+
 BOOST_AUTO_TEST_CASE(an_even_load_needs_no_change)
 {
     const ExpertMap map = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
