--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/gateway/proxiedcall.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockhead {
 
@@ -36,7 +37,23 @@
     const CallId id = ++m_lastId;
     const auto call = std::make_shared<ProxiedCall>(*this, exchange, id);
     m_calls.emplace(id, call);
-    call->start();
+    call->watchClient();
+    if (m_isOpen)
+        call->start();
+    else
+        m_keptCalls.push_back(id);
+}
+
+void CallRouter::open()
+{
+    m_isOpen = true;
+    for (const CallId id : std::exchange(m_keptCalls, {})) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            continue; // The client has left.
+        const auto call = found->second;
+        call->start();
+    }
 }
 
 bool CallRouter::applyConfiguration(const GatewayConfigurationPointer &configuration)
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -43,8 +43,14 @@
     CallRouter(const CallRouter &) = delete;
     CallRouter &operator=(const CallRouter &) = delete;
 
+    // Handles a request, or keeps it until open() is called.
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+    // Handles the requests that have been kept, and every further one at once. To be called when
+    // the first configuration and the endpoints are known, or when they won't be known soon.
+    // Answers the clients that wait for a process to start after a crash.
+    void open();
+
     // Applies a configuration; false if it isn't newer than the current one.
     bool applyConfiguration(const GatewayConfigurationPointer &configuration);
     const GatewayConfigurationPointer &configuration() const { return m_configuration; }
@@ -90,6 +96,8 @@
     ClientAgeEstimator m_clientAgeEstimator;
     GatewayPosition m_position; // As of the last refresh.
     CallId m_lastId = 0;
+    std::vector<CallId> m_keptCalls; // Before open().
+    bool m_isOpen = false;
     bool m_refusesNew = false;
 };
 
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -18,6 +18,9 @@
 // How long clients may cache the gateway addresses; they query once in this time.
 constexpr Milliseconds addressTtl{2000};
 constexpr Milliseconds logFlushInterval{50};
+// How long requests are kept after the start for the first configuration, which an available store
+// sends within milliseconds.
+constexpr Milliseconds maxStartTime{500};
 constexpr Milliseconds updateInterval{250};
 constexpr Milliseconds settingsCheckInterval{1000};
 // Fraction of the permitted time for which a removed endpoint is still used, since entries expire
@@ -174,6 +177,7 @@
     m_configurationFollower.start();
     m_endpointFollower.start();
     m_dataCentreFollower.start();
+    m_loop.callAt(Clock::now() + maxStartTime, [this] { m_router.open(); });
     refresh();
     writeLines();
     scheduleSettingsCheck();
@@ -297,6 +301,7 @@
         && m_endpointFollower.isListed() && m_dataCentreFollower.isListed()) {
         m_peers.setState(PeerState::Ready);
         m_peerLink.broadcast();
+        m_router.open();
         m_log.add("ready", {{"config", std::to_string(m_router.configuration()->version())}});
     }
 }
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -75,16 +75,20 @@
     return toMilliseconds(Clock::now() - m_times.arrivedAt());
 }
 
+void ProxiedCall::watchClient()
+{
+    m_exchange->onClientGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onClientDisconnected();
+    });
+}
+
 void ProxiedCall::start()
 {
     m_attributes = m_router.dependencies().m_protocol.parseRequest(m_exchange->head());
     if (!resolveRoute())
         return;
     m_events = EventSplitter(m_attributes.m_lastEventId);
-    m_exchange->onClientGone([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->onClientDisconnected();
-    });
     setTimer(m_deadline);
     m_router.limiter(m_service).retryBudget().recordRequest(m_times.arrivedAt());
     sendOrQueue();
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -30,6 +30,9 @@
     ProxiedCall(const ProxiedCall &) = delete;
     ProxiedCall &operator=(const ProxiedCall &) = delete;
 
+    // Ends the request when its client leaves.
+    void watchClient();
+
     void start();
 
     // Sends the request to an endpoint; false if none is eligible now.
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -224,6 +224,26 @@
     BOOST_TEST(listedAddresses() == "");
 }
 
+// After a crash, clients connect as soon as the port is open.
+BOOST_AUTO_TEST_CASE(requests_that_come_before_the_first_configuration_are_served_with_it)
+{
+    m_store.setRefusal(503);
+    for (const auto &endpoint : m_app)
+        m_store.put("servers", endpoint->id(), endpoint->entry());
+    m_store.put("config", "main", configuration(3));
+    startGateway();
+    for (int attempt = 0; attempt < 200 && readiness() == 0; ++attempt)
+        waitFor(Milliseconds(5));
+    const auto early = call("GET", "/safe/x");
+    const auto gone = call("GET", "/safe/x");
+    waitFor(Milliseconds(20));
+    gone->disconnect();
+    m_store.setRefusal(0);
+    waitUntil([&] { return early->hasEnded(); });
+    BOOST_TEST(early->status() == 200);
+    BOOST_TEST(runCount("app") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_to_an_unresponsive_endpoint_ends_at_its_deadline)
 {
     start();
