--- a/src/burdockhead/membership/controltransport.cpp
+++ b/src/burdockhead/membership/controltransport.cpp
@@ -385,9 +385,9 @@
     if (m_d->m_isListening)
         closings.push_back(closeSocket(m_d->m_socket));
     const TimePoint deadline = Clock::now() + closeTimeout;
-    const auto abandoned = std::count_if(
-        closings.begin(), closings.end(),
-        [&](const AbandonableTask &closing) { return !closing.waitUntil(deadline); });
+    const auto abandoned =
+        std::count_if(closings.begin(), closings.end(),
+                      [&](const AbandonableTask &closing) { return !closing.waitUntil(deadline); });
     if (abandoned > 0)
         logWarning("control_sockets_abandoned", {{"sockets", abandoned}});
     for (const auto &worker : m_d->m_workers) {
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -39,8 +39,8 @@
     // From now on each answer closes its connection.
     void closeAfterAnswers();
 
-    // Closes the kept connections on which no request is in work or arriving. One that has just been
-    // made isn't idle: its first request may be on the way.
+    // Closes the kept connections on which no request is in work or arriving. One that has just
+    // been made isn't idle: its first request may be on the way.
     void closeIdle();
 
     // Accepts the connections that clients have made already and refuses further ones.
