--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -10,6 +10,8 @@
 
 // Bounds the planning work per layer; a change rarely allows more moves.
 constexpr std::size_t maxMoves = 128;
+// Share of the skew above 1, the skew of an even load, that a plan must remove to be kept.
+constexpr double minShareOfExcessSkew = 0.3;
 
 // Number of experts to load, by rank.
 using NewExpertCounts = std::vector<std::ptrdiff_t>;
@@ -123,4 +125,11 @@
     return best;
 }
 
+bool isStillWorthwhile(const ExpertMap &planned, const ExpertMap &current, const GroupLoads &loads,
+                       const GroupShape &shape)
+{
+    const double skew = skewOf(current, loads, shape);
+    return skew - skewOf(planned, loads, shape) >= minShareOfExcessSkew * (skew - 1);
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/mapplanner.h
+++ b/src/burdockhead/rankagent/mapplanner.h
@@ -31,4 +31,11 @@
 std::optional<ExpertMap> planMapChange(const ExpertMap &current, const GroupLoads &loads,
                                        const MapChangeLimits &limits);
 
+// Returns whether a plan that is being loaded still suits loads that have changed since it was
+// made: finishing it is worthwhile if it removes a fair part of the skew that a map can remove.
+// What looks like a shift may be the counts of ranks that take more or less work, and a plan that
+// is dropped has cost its loads.
+bool isStillWorthwhile(const ExpertMap &planned, const ExpertMap &current, const GroupLoads &loads,
+                       const GroupShape &shape);
+
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -2,7 +2,6 @@
 #include <burdockhead/net/shortcall.h>
 #include <burdockhead/observe/wallclock.h>
 #include <burdockhead/process/processstart.h>
-#include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
 #include <burdockhead/rankagent/standbytakeover.h>
@@ -253,8 +252,9 @@
         if (m_isFullRound) {
             m_rankAddresses[rank] = addresses;
             m_ranks[rank] = *status;
-        } else if (rank == 0) {
-            m_ranks[rank].m_snapshot.m_step = status->m_snapshot.m_step;
+        } else if (const auto known = m_ranks.find(rank); known != m_ranks.end()) {
+            known->second.m_snapshot.m_step = status->m_snapshot.m_step;
+            known->second.m_snapshot.m_slowness = status->m_snapshot.m_slowness;
         }
     }
     finishPoll();
@@ -353,16 +353,17 @@
 {
     if (!m_group || !m_shape || !m_demand)
         return;
-    reportSlowRanks();
-    if (m_demand->endRound()) {
+    const bool hasSlownessChanged = reportSlowRanks();
+    const bool hasShifted = m_demand->endRound();
+    if (hasShifted)
         m_dependencies.m_log.add(
             "demand_shifted",
             {{"group", *m_group}, {"moved", std::to_string(m_demand->shiftedShare())}});
+    if (hasShifted || hasSlownessChanged) {
         m_nextPlanAt = {};
         m_nextFullRoundAt = {};
-        // A plan for the previous demand isn't worth its loads.
         if (!m_isHoldInProgress)
-            m_plan.reset();
+            dropObsoletePlan();
     }
     // The next plan requires the experts of all ranks.
     if (!m_demand->hasEnoughData())
@@ -375,6 +376,22 @@
                                                         : idlePause);
 }
 
+// Drops the plan that is being loaded if it doesn't suit the present demand and ranks.
+void RankCoordinator::dropObsoletePlan()
+{
+    if (!m_plan || m_ranks.empty())
+        return;
+    const auto current = activeMap();
+    if (current
+        && isStillWorthwhile(m_plan->m_map, *current, m_demand->loads(),
+                             changeLimits(snapshots()).m_shape))
+        return;
+    m_dependencies.m_log.add(
+        "plan_dropped",
+        {{"group", *m_group}, {"version", std::to_string(m_plan->m_map.m_version)}});
+    m_plan.reset();
+}
+
 // Updates the group's latest started step. Returns whether it has changed since the last call.
 bool RankCoordinator::updateLatestStep()
 {
@@ -497,6 +514,19 @@
     return m_knownMaps.empty() ? std::nullopt : std::optional(m_knownMaps.rbegin()->second);
 }
 
+MapChangeLimits RankCoordinator::changeLimits(const std::vector<RankSnapshot> &snapshots) const
+{
+    MapChangeLimits limits = {
+        {snapshots.front().m_rankCount, m_shape->m_expertSlotsPerRank, slownessOf(snapshots)},
+        m_shape->m_maxLoadsPerChange};
+    const double affordableLoads =
+        loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
+    limits.m_maxLoadsPerRank = std::max(minLoadsPerRank, static_cast<std::size_t>(affordableLoads));
+    limits.m_changeTime = changeTime;
+    limits.m_loadMilliseconds = m_shape->m_loadMilliseconds;
+    return limits;
+}
+
 // Plans a change for the current demand. If forced, to end a hold, the plan changes nothing or
 // repeats what the ranks have prepared already.
 void RankCoordinator::makePlan(const std::vector<RankSnapshot> &snapshots, bool isForced)
@@ -504,17 +534,10 @@
     if (snapshots.empty() || !m_demand
         || (snapshots.size() != snapshots.front().m_rankCount && !isForced))
         return;
-    const std::uint32_t ranks = snapshots.front().m_rankCount;
     const auto current = activeMap();
     if (!isForced && (!current || !m_demand->hasEnoughData()))
         return;
-    MapChangeLimits limits = {{ranks, m_shape->m_expertSlotsPerRank, slownessOf(snapshots)},
-                              m_shape->m_maxLoadsPerChange};
-    const double affordableLoads =
-        loadBudgetMilliseconds / std::max(m_shape->m_loadMilliseconds, 1.0);
-    limits.m_maxLoadsPerRank = std::max(minLoadsPerRank, static_cast<std::size_t>(affordableLoads));
-    limits.m_changeTime = changeTime;
-    limits.m_loadMilliseconds = m_shape->m_loadMilliseconds;
+    const MapChangeLimits limits = changeLimits(snapshots);
     auto planned = isForced ? (current ? current : newestKnownMap())
                             : planMapChange(*current, m_demand->loads(), limits);
     if (!planned) {
@@ -604,19 +627,20 @@
         ++m_pendingOrders;
 }
 
-// Tells the gateways which ranks are slow; they spread it among them.
-void RankCoordinator::reportSlowRanks()
+// Tells the gateways which ranks are slow; they spread it among them. Returns whether that is new.
+bool RankCoordinator::reportSlowRanks()
 {
-    const auto slowRanks = m_slownessReporter.nextReport(Clock::now());
-    if (!slowRanks)
-        return;
-    m_dependencies.m_log.add("slow_ranks",
-                             {{"group", *m_group}, {"count", std::to_string(slowRanks->size())}});
+    const auto report = m_slownessReporter.nextReport(Clock::now());
+    if (!report)
+        return false;
+    m_dependencies.m_log.add(
+        "slow_ranks", {{"group", *m_group}, {"count", std::to_string(report->m_ranks.size())}});
     for (const SocketAddress &gateway : m_dependencies.m_gateways)
         m_orderCalls.push_back(std::make_unique<ShortCall>(
             m_dependencies.m_loop, m_dependencies.m_client, gateway, "POST", rankReportTarget,
-            writeRankReport({*m_group, *slowRanks}), Clock::now() + orderTimeout,
+            writeRankReport({*m_group, report->m_ranks}), Clock::now() + orderTimeout,
             [](ShortCall &) {}));
+    return report->m_isNew;
 }
 
 // Sends an order to hold through a gateway, since no rank runs on its VM. Returns false when the
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -7,6 +7,7 @@
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
 #include <burdockhead/rankagent/expertdemand.h>
+#include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/maprollout.h>
 #include <burdockhead/rankagent/rankmessages.h>
 #include <burdockhead/rankagent/ranksampler.h>
@@ -91,11 +92,13 @@
     std::vector<RankAddresses> addressesOf(const std::vector<std::uint32_t> &ranks) const;
     bool updateLatestStep();
     void decide();
+    MapChangeLimits changeLimits(const std::vector<RankSnapshot> &snapshots) const;
+    void dropObsoletePlan();
     void makePlan(const std::vector<RankSnapshot> &snapshots, bool isForced);
     void send(const std::vector<RankOrder> &orders);
     void send(const RankOrderMessage &message, TimePoint deadline);
     bool sendByRelay(const RankOrderMessage &message);
-    void reportSlowRanks();
+    bool reportSlowRanks();
     static bool canAwaitReplies(const RolloutDecision &decision);
     void onOrderReply(const RankOrder &order, int status);
     bool isRank0PresentOrUnresponsive() const;
--- a/src/burdockhead/rankagent/slownessreporter.cpp
+++ b/src/burdockhead/rankagent/slownessreporter.cpp
@@ -21,16 +21,17 @@
         m_slowRanks.erase(rank);
 }
 
-std::optional<std::vector<EndpointSlowness>> SlownessReporter::nextReport(TimePoint now)
+std::optional<SlownessReport> SlownessReporter::nextReport(TimePoint now)
 {
     std::vector<EndpointSlowness> slow;
     for (const auto &[rank, slowness] : m_slowRanks)
         slow.push_back(slowness);
-    if (slow == m_reported && (slow.empty() || now < m_repeatAt))
+    const bool isNew = slow != m_reported;
+    if (!isNew && (slow.empty() || now < m_repeatAt))
         return std::nullopt;
     m_reported = slow;
     m_repeatAt = now + repeatInterval;
-    return slow;
+    return SlownessReport{std::move(slow), isNew};
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/slownessreporter.h
+++ b/src/burdockhead/rankagent/slownessreporter.h
@@ -10,6 +10,15 @@
 
 namespace burdockhead {
 
+// The ranks that gateways are told to be slow.
+struct SlownessReport
+{
+    std::vector<EndpointSlowness> m_ranks;
+    bool m_isNew = false; // Differs from the previous report.
+
+    friend bool operator==(const SlownessReport &, const SlownessReport &) = default;
+};
+
 // Decides when a group's coordinator tells gateways which ranks are slow. All streams of a group
 // wait for its slowest rank in each step, so gateways have to send that rank less at once. Reports
 // are repeated while a rank is slow, since a gateway forgets them soon.
@@ -19,8 +28,8 @@
     // Records what a rank's engine reports of itself.
     void record(std::uint32_t rank, const SocketAddress &engine, double factor);
 
-    // Returns the ranks to report now, which may be none; no value if nothing needs to be said.
-    std::optional<std::vector<EndpointSlowness>> nextReport(TimePoint now);
+    // Returns what to report now, which may be no rank; no value if nothing needs to be said.
+    std::optional<SlownessReport> nextReport(TimePoint now);
 
 private:
     std::map<std::uint32_t, EndpointSlowness> m_slowRanks;
--- a/tests/internal/rankagent/test_mapplanner.cpp
+++ b/tests/internal/rankagent/test_mapplanner.cpp
@@ -152,4 +152,31 @@
     BOOST_TEST(skewIgnoringSlowness > 3 * skewWithSlowness);
 }
 
+// Load pattern: a rank turns slow, and the counts of the others change with the work that they take
+// from it, which looks like a shift while the plan to relieve it is being loaded.
+BOOST_AUTO_TEST_CASE(a_plan_that_relieves_a_slow_rank_is_kept_when_counts_change)
+{
+    MapChangeLimits slowRankLimits = limits;
+    slowRankLimits.m_shape.m_slowdownByRank.assign(ranks, 1);
+    slowRankLimits.m_shape.m_slowdownByRank[3] = 12;
+    const ExpertMap map = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
+    const auto planned = planMapChange(map, demand(0), slowRankLimits);
+    BOOST_TEST_REQUIRE(planned.has_value());
+    GroupLoads changed = demand(0);
+    for (std::size_t expert = 0; expert < experts; ++expert) {
+        for (LayerLoads &loads : changed.m_layers)
+            loads[expert] *= expert % 3 == 0 ? 1.3 : 0.8;
+    }
+    BOOST_TEST(isStillWorthwhile(*planned, map, changed, slowRankLimits.m_shape));
+}
+
+BOOST_AUTO_TEST_CASE(a_plan_is_dropped_when_other_experts_are_in_demand)
+{
+    const ExpertMap map = ExpertMap::roundRobin(layers, experts, ranks, experts / ranks);
+    const auto planned = planMapChange(map, demand(0), limits);
+    BOOST_TEST_REQUIRE(planned.has_value());
+    BOOST_TEST(isStillWorthwhile(*planned, map, demand(0), limits.m_shape));
+    BOOST_TEST(!isStillWorthwhile(*planned, map, demand(11), limits.m_shape));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/internal/rankagent/test_slownessreporter.cpp
+++ b/tests/internal/rankagent/test_slownessreporter.cpp
@@ -19,9 +19,11 @@
     reporter.record(3, engine, 1);
     BOOST_TEST(!reporter.nextReport(start).has_value());
     reporter.record(3, engine, 12);
-    BOOST_TEST((reporter.nextReport(start) == std::vector<EndpointSlowness>{{engine, 12}}));
+    const SlownessReport report = {{{engine, 12}}, true};
+    BOOST_TEST((reporter.nextReport(start) == report));
     BOOST_TEST(!reporter.nextReport(start + Milliseconds(900)).has_value());
-    BOOST_TEST(reporter.nextReport(start + Milliseconds(1000)).has_value());
+    const SlownessReport repeated = {{{engine, 12}}, false};
+    BOOST_TEST((reporter.nextReport(start + Milliseconds(1000)) == repeated));
 }
 
 BOOST_AUTO_TEST_CASE(the_end_of_a_rank_s_slowness_is_reported_once)
@@ -30,7 +32,8 @@
     reporter.record(3, engine, 12);
     reporter.nextReport(start);
     reporter.record(3, engine, 1);
-    BOOST_TEST((reporter.nextReport(start) == std::vector<EndpointSlowness>()));
+    const SlownessReport recovery = {{}, true};
+    BOOST_TEST((reporter.nextReport(start) == recovery));
     BOOST_TEST(!reporter.nextReport(start + Seconds(5)).has_value());
 }
 
