Add burdockhead summary: how requests ended by second, and what made them late

`burdockhead explain` answers for one request; a time of trouble needs the same over all.

A test of the operators' commands iterated over a value that was gone by then (a temporary optional in a range-for); it names the value now.

--- a/src/burdockhead/operators/commandflags.cpp
+++ b/src/burdockhead/operators/commandflags.cpp
@@ -21,12 +21,17 @@
 ABSL_FLAG(std::string, event, "", "Only events of this type, such as request_retried");
 ABSL_FLAG(std::string, since, "", "Only events at or after this time, such as 2026-12-03T22:10:05");
 ABSL_FLAG(std::string, until, "", "Only events at or before this time");
+ABSL_FLAG(std::string, first_event_ms, "400",
+          "Milliseconds in which a first event or a plain answer is in time");
+ABSL_FLAG(std::string, pause_ms, "120", "Longest milliseconds between two events in time");
+ABSL_FLAG(bool, svg, false, "Print a bar chart as an SVG document");
 
 namespace burdockhead {
 
 namespace {
 
 constexpr std::uint64_t maxTimeoutMilliseconds = 3600000;
+constexpr std::uint64_t maxObjectiveMilliseconds = 3600000;
 
 // A flag as given on the command line, before its value is parsed.
 struct RawFlag
@@ -73,6 +78,18 @@
     return time.has_value();
 }
 
+bool readObjectives(OutcomeObjectives &objectives, std::string &error)
+{
+    const auto firstEvent =
+        readNumber(absl::GetFlag(FLAGS_first_event_ms), 1, maxObjectiveMilliseconds);
+    const auto pause = readNumber(absl::GetFlag(FLAGS_pause_ms), 1, maxObjectiveMilliseconds);
+    if (!firstEvent || !pause)
+        error = std::string("flag --") + (firstEvent ? "pause_ms" : "first_event_ms") + ": 1 to "
+                + std::to_string(maxObjectiveMilliseconds) + " is expected";
+    objectives = {Milliseconds(firstEvent.value_or(1)), Milliseconds(pause.value_or(1))};
+    return error.empty();
+}
+
 bool readEventFilter(EventFilter &filter, std::string &error)
 {
     const std::string request = absl::GetFlag(FLAGS_request);
@@ -150,7 +167,9 @@
     else if (!timeout)
         error =
             "flag --timeout_ms: 1 to " + std::to_string(maxTimeoutMilliseconds) + " is expected";
-    if (!error.empty() || !readEventFilter(options.m_filter, error))
+    options.m_svg = absl::GetFlag(FLAGS_svg);
+    if (!error.empty() || !readEventFilter(options.m_filter, error)
+        || !readObjectives(options.m_objectives, error))
         return std::nullopt;
     return options;
 }
--- a/src/burdockhead/operators/commandline.cpp
+++ b/src/burdockhead/operators/commandline.cpp
@@ -4,6 +4,7 @@
 #include <burdockhead/operators/exitcode.h>
 #include <burdockhead/operators/explaincommand.h>
 #include <burdockhead/operators/processcommands.h>
+#include <burdockhead/operators/summarycommand.h>
 #include <burdockhead/operators/timelinecommand.h>
 
 #include <algorithm>
@@ -161,6 +162,13 @@
          2,
          maxArgumentCount,
          runExplainCommand},
+        {"summary",
+         "LOG-FILE...",
+         "Summarizes how requests ended, by second, and what made them late",
+         {"first_event_ms", "pause_ms", "svg"},
+         1,
+         maxArgumentCount,
+         runSummaryCommand},
         {"timeline",
          "",
          "Prints a merged timeline of events from all processes",
--- a/src/burdockhead/operators/commandoptions.h
+++ b/src/burdockhead/operators/commandoptions.h
@@ -3,6 +3,7 @@
 #include <burdockhead/base/socketaddress.h>
 #include <burdockhead/base/timepoint.h>
 #include <burdockhead/observe/eventfilter.h>
+#include <burdockhead/operators/outcomesummary.h>
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,8 @@
     bool m_json = false;
     Milliseconds m_timeout{5000};
     EventFilter m_filter;
+    OutcomeObjectives m_objectives;
+    bool m_svg = false;
 };
 
 } // namespace burdockhead
--- a/tests/public/operators/test_operatorsprocesses.cpp
+++ b/tests/public/operators/test_operatorsprocesses.cpp
@@ -94,8 +94,9 @@
         deployment.names("entry-").size() + deployment.names("agent-").size();
     const bool isShown = waitUntil([&] {
         const CommandRun run = runTimeline(deployment, {"--json", "--event=configuration_applied"});
+        const auto events = eventsFromJsonLines(run.m_out);
         std::set<ProcessName> appliedBy;
-        for (const Event &event : eventsFromJsonLines(run.m_out).value())
+        for (const Event &event : events.value())
             if (event.m_reason.ends_with("version 2"))
                 appliedBy.insert(event.m_process);
         return appliedBy.size() == processes;
