--- a/src/burdockhead/rankagent/mapplanner.cpp
+++ b/src/burdockhead/rankagent/mapplanner.cpp
@@ -16,30 +16,46 @@
 // Number of experts to load, by rank.
 using NewExpertCounts = std::vector<std::ptrdiff_t>;
 
-// Returns a layer's moves that are worth the loads they cause, in the order of application.
-std::vector<PlacementMove> planLayerMoves(const LayerPlacement &current, const LayerLoads &loads,
-                                          const MapChangeLimits &limits)
+// The moves of one layer that are worth the loads they cause, in the order of application. They are
+// found as they are needed, since a change of few loads applies few of them, and the ranks wait for
+// the plan.
+class LayerMoves
 {
-    std::vector<PlacementMove> moves;
-    const double mean = std::accumulate(loads.begin(), loads.end(), 0.0)
-                        / static_cast<double>(limits.m_shape.m_rankCount);
-    LayerBalancer balancer(current, loads, limits.m_shape);
-    while (moves.size() < maxMoves
-           && balancer.maxRankLoad() > (1 + limits.m_skewTolerance) * mean) {
-        const auto move = balancer.applyBestMove();
-        if (!move)
-            break;
-        moves.push_back(*move);
+public:
+    LayerMoves(const LayerPlacement &current, const LayerLoads &loads,
+               const MapChangeLimits &limits)
+        : m_targetLoad((1 + limits.m_skewTolerance)
+                       * std::accumulate(loads.begin(), loads.end(), 0.0)
+                       / static_cast<double>(limits.m_shape.m_rankCount))
+        , m_balancer(current, loads, limits.m_shape)
+    {}
+
+    // Returns the move at an index; null if there are fewer.
+    const PlacementMove *at(std::size_t index)
+    {
+        while (m_moves.size() <= index && !m_isComplete) {
+            const auto move = m_moves.size() < maxMoves && m_balancer.maxRankLoad() > m_targetLoad
+                                  ? m_balancer.applyBestMove()
+                                  : std::nullopt;
+            m_isComplete = !move;
+            if (move)
+                m_moves.push_back(*move);
+        }
+        return index < m_moves.size() ? &m_moves[index] : nullptr;
     }
-    return moves;
-}
+
+private:
+    double m_targetLoad; // Maximum load of a rank at which the layer needs no further move.
+    LayerBalancer m_balancer;
+    std::vector<PlacementMove> m_moves;
+    bool m_isComplete = false;
+};
 
 // Planning state of one layer.
 struct LayerPlan
 {
     LayerPlacement m_placement;
     NewExpertCounts m_newByRank;
-    std::vector<PlacementMove> m_moves;
     std::size_t m_applied = 0;
 };
 
@@ -59,12 +75,14 @@
 
 // Applies a layer's next move unless a rank would then load more than the limits allow, or more
 // than `maxLoadsPerRank` in all layers.
-bool applyNextMove(LayerPlan &plan, const LayerPlacement &current, const MapChangeLimits &limits,
-                   std::size_t maxLoadsPerRank, NewExpertCounts &newInAllLayers)
+bool applyNextMove(LayerPlan &plan, LayerMoves &moves, const LayerPlacement &current,
+                   const MapChangeLimits &limits, std::size_t maxLoadsPerRank,
+                   NewExpertCounts &newInAllLayers)
 {
-    if (plan.m_applied == plan.m_moves.size())
+    const PlacementMove *next = moves.at(plan.m_applied);
+    if (next == nullptr)
         return false;
-    const PlacementMove &move = plan.m_moves[plan.m_applied];
+    const PlacementMove &move = *next;
     addNewExperts(plan, move, current, newInAllLayers, 1);
     const auto exceedsLimit = [&](const ReplicaChange &change) {
         const std::size_t rank = change.m_rank;
@@ -82,15 +100,18 @@
 }
 
 // Applies moves until a rank would load more than that, and returns the map.
-ExpertMap applyMoves(std::vector<LayerPlan> plans, const ExpertMap &current,
+ExpertMap applyMoves(std::vector<LayerMoves> &moves, const ExpertMap &current,
                      const MapChangeLimits &limits, std::size_t maxLoadsPerRank)
 {
+    std::vector<LayerPlan> plans;
+    for (const LayerPlacement &placement : current.m_layers)
+        plans.push_back({placement, NewExpertCounts(limits.m_shape.m_rankCount, 0)});
     NewExpertCounts newInAllLayers(limits.m_shape.m_rankCount, 0);
     // Round robin over the layers, since the first moves of each remove the most skew.
     for (bool hasMoved = true; hasMoved;) {
         hasMoved = false;
         for (std::size_t layer = 0; layer < plans.size(); ++layer)
-            hasMoved |= applyNextMove(plans[layer], current.m_layers[layer], limits,
+            hasMoved |= applyNextMove(plans[layer], moves[layer], current.m_layers[layer], limits,
                                       maxLoadsPerRank, newInAllLayers);
     }
     ExpertMap planned = current;
@@ -104,16 +125,15 @@
 std::optional<ExpertMap> planMapChange(const ExpertMap &current, const GroupLoads &loads,
                                        const MapChangeLimits &limits)
 {
-    std::vector<LayerPlan> plans;
+    std::vector<LayerMoves> moves;
+    moves.reserve(current.m_layers.size());
     for (std::size_t layer = 0; layer < current.m_layers.size(); ++layer)
-        plans.push_back({current.m_layers[layer], NewExpertCounts(limits.m_shape.m_rankCount, 0),
-                         planLayerMoves(current.m_layers[layer], loads.m_layers[layer], limits),
-                         0});
+        moves.emplace_back(current.m_layers[layer], loads.m_layers[layer], limits);
     const double before = skewOf(current, loads, limits.m_shape);
     std::optional<ExpertMap> best;
     double bestRate = 0;
     for (std::size_t maxLoads = 1; maxLoads <= limits.m_maxLoadsPerRank; ++maxLoads) {
-        ExpertMap planned = applyMoves(plans, current, limits, maxLoads);
+        ExpertMap planned = applyMoves(moves, current, limits, maxLoads);
         const double reduction = before - skewOf(planned, loads, limits.m_shape);
         const double duration = static_cast<double>(limits.m_changeTime.count())
                                 + limits.m_loadMilliseconds * static_cast<double>(maxLoads);
