Never hand on a late copy of an answer, and bound answers without end

Cause 1: an endpoint that sends its answer a second time, late, on a connection that is in use again. With the request's id in the answer the gateway noticed; without one it took the copy for the next answer: 30 of 60 clients in the test got the previous client's answer. Change: after an answer that doesn't state its request, the connection isn't used again (HttpCall::useConnectionOnce).

Cause 2: heads were bounded by the parser, but interim answers (1xx), bytes of an event stream without an event boundary, and the bodies of many requests together were not. Change: 8 interim answers, 256 KB an event, 32 MB of buffered bodies for the whole gateway (BufferBudget), 4 MB an answer between processes, 32 MB an answer of the store. The endpoint counts as failing, and the request goes elsewhere where its route allows it.

--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -20,6 +20,8 @@
 // Smallest concurrency limit of a gateway, so that it can reach a few endpoints shared by many
 // gateways.
 constexpr std::size_t minShare = 3;
+// Bytes of responses that are buffered for all requests together: a small part of a VM's memory.
+constexpr std::size_t maxBufferedBytes = 33554432;
 // Delay until dispatch is retried for queued calls that no endpoint accepted.
 constexpr Milliseconds dispatchRetryDelay{25};
 
@@ -28,6 +30,7 @@
 CallRouter::CallRouter(const GatewayDependencies &dependencies, Random seed)
     : m_dependencies(dependencies)
     , m_random(seed)
+    , m_responseBuffers(maxBufferedBytes)
 {}
 
 CallRouter::~CallRouter() = default;
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <burdockhead/gateway/bufferbudget.h>
 #include <burdockhead/gateway/callprotocol.h>
 #include <burdockhead/gateway/clientageestimator.h>
 #include <burdockhead/gateway/endpointtable.h>
@@ -82,6 +83,7 @@
     void remove(CallId id);
     Random &random() { return m_random; }
     ClientAgeEstimator &clientAgeEstimator() { return m_clientAgeEstimator; }
+    BufferBudget &responseBuffers() { return m_responseBuffers; }
 
 private:
     void updateCapacity(const GroupName &service, ServiceLimiter &serviceLimiter);
@@ -92,6 +94,7 @@
     GatewayConfigurationPointer m_configuration;
     std::map<GroupName, ServiceLimiter> m_limiters;
     std::map<GroupName, TimerId> m_dispatchTimers;
+    BufferBudget m_responseBuffers; // Must outlive the calls.
     std::unordered_map<CallId, std::shared_ptr<ProxiedCall>> m_calls;
     ClientAgeEstimator m_clientAgeEstimator;
     GatewayPosition m_position; // As of the last refresh.
--- a/src/burdockhead/gateway/eventsplitter.cpp
+++ b/src/burdockhead/gateway/eventsplitter.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// An event holds a few tokens. Bytes without an event boundary would otherwise fill the memory.
+constexpr std::size_t maxEventBytes = 262144;
+
 // Returns the length of the first complete event with its blank line; npos without one.
 std::size_t firstEventLength(std::string_view text)
 {
@@ -41,6 +44,7 @@
 void EventSplitter::beginResponse()
 {
     m_partial.clear();
+    m_isEventTooLong = false;
 }
 
 std::string EventSplitter::append(std::string_view bytes)
@@ -58,7 +62,8 @@
         appendEvent(bytes.substr(0, length), events);
         bytes.remove_prefix(length);
     }
-    m_partial = bytes;
+    m_isEventTooLong = bytes.size() > maxEventBytes;
+    m_partial = m_isEventTooLong ? std::string_view() : bytes;
     return events;
 }
 
--- a/src/burdockhead/gateway/eventsplitter.h
+++ b/src/burdockhead/gateway/eventsplitter.h
@@ -29,6 +29,9 @@
     // Returns whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !m_partial.empty(); }
 
+    // Returns whether an event is longer than any that is waited for. Its bytes are dropped.
+    bool isEventTooLong() const { return m_isEventTooLong; }
+
     // Returns the id of the last returned event, or the one that the stream started after.
     std::optional<std::uint64_t> lastEventId() const { return m_lastEventId; }
 
@@ -38,6 +41,7 @@
     std::optional<std::uint64_t> m_lastEventId;
     std::string m_partial;
     bool m_hasGap = false;
+    bool m_isEventTooLong = false;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -68,6 +68,13 @@
 ProxiedCall::~ProxiedCall()
 {
     m_router.dependencies().m_loop.cancel(m_timerId);
+    clearResponseBody();
+}
+
+void ProxiedCall::clearResponseBody()
+{
+    m_router.responseBuffers().release(m_responseBody.size());
+    m_responseBody.clear();
 }
 
 Milliseconds ProxiedCall::elapsed() const
@@ -230,7 +237,7 @@
     m_times.recordSent(now);
     m_responseHead.reset();
     m_responseAttributes = {};
-    m_responseBody.clear();
+    clearResponseBody();
     m_isStreaming = false;
     m_events.beginResponse();
     dependencies.m_endpoints.onRequestSent(*m_endpoint, now);
@@ -276,6 +283,8 @@
     const auto self = shared_from_this();
     m_responseAttributes = m_router.dependencies().m_protocol.parseResponse(head);
     m_endpoint->m_lastResponseAt = Clock::now();
+    if (m_responseAttributes.m_requestId.empty())
+        m_call->useConnectionOnce();
     const bool isOtherRequest = !m_responseAttributes.m_requestId.empty()
                                 && m_responseAttributes.m_requestId != m_attributes.m_id;
     if (isOtherRequest || m_responseAttributes.m_isEncoded) {
@@ -308,11 +317,13 @@
         forwardEvents(bytes);
         return;
     }
-    m_responseBody.append(bytes);
-    if (m_responseBody.size() > maxResponseBytes) {
+    if (m_responseBody.size() + bytes.size() > maxResponseBytes
+        || !m_router.responseBuffers().tryReserve(bytes.size())) {
         m_call.reset();
         onAttemptFailed("answer too large");
+        return;
     }
+    m_responseBody.append(bytes);
 }
 
 void ProxiedCall::recordEventTimes()
@@ -335,6 +346,11 @@
             m_exchange->startAnswer(m_streamHead->m_status, clientHeaders(*m_streamHead));
         m_exchange->sendPart(events);
     }
+    if (m_events.isEventTooLong()) {
+        m_call.reset();
+        onAttemptFailed("event too long");
+        return;
+    }
     if (m_events.hasGap()) {
         m_call.reset();
         releaseEndpoint(false);
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -55,6 +55,7 @@
     void setTimer(TimePoint deadline);
     TimePoint latestUsefulStart() const;
     void releaseEndpoint(bool isSuccess);
+    void clearResponseBody();
 
     void onResponseComplete();
     void onStreamComplete();
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// A longer answer of the store isn't waited for; a whole configuration has about a megabyte.
+constexpr std::size_t maxBodyBytes = 33554432;
+
 // How much longer than the watch its response may take.
 constexpr Milliseconds watchTimeoutMargin{700};
 // Timeout of a list call; the store responds in milliseconds, at worst some hundred.
@@ -135,6 +138,10 @@
 
 void StoreFollower::callBody(std::string_view bytes)
 {
+    if (m_body.size() + bytes.size() > maxBodyBytes) {
+        onFailure("answer too long", true);
+        return;
+    }
     m_body.append(bytes);
 }
 
--- a/src/burdockhead/net/httpclientpool.cpp
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int firstFinalStatus = 200;
+// More interim answers than this to one request aren't waited for.
+constexpr unsigned maxInterimAnswers = 8;
 // Kept for as long at the most when the peer doesn't say how long it keeps a connection.
 constexpr Milliseconds defaultIdleTime{4000};
 // Taken off the time that the peer says, which counts from its own clock and rounds.
@@ -45,6 +47,7 @@
         return now < m_idleUntil && now - m_idleSince <= maxIdle;
     }
     bool hasSent() const { return m_stream->sentBytes() > m_sentBeforeCall; }
+    void useOnce(std::uint64_t callNumber);
 
 private:
     void streamConnected() override { m_loop.cancel(m_timer); }
@@ -70,7 +73,9 @@
     Milliseconds m_idleTime = defaultIdleTime;
     bool m_hasNoAnswerBody = false;
     bool m_isInterim = false; // The head was of a 1xx answer.
-    bool m_keeps = false;     // The peer will read another request.
+    unsigned m_interimAnswers = 0;
+    bool m_keeps = false; // The peer will read another request.
+    bool m_isUsedOnce = false;
     bool m_isIdle = false;
     std::uint64_t m_sentBeforeCall = 0; // Bytes sent on this connection for earlier calls.
     std::uint64_t m_callNumber = 0;
@@ -92,6 +97,8 @@
     m_observer = &observer;
     m_hasNoAnswerBody = hasNoAnswerBody;
     m_keeps = false;
+    m_isUsedOnce = false;
+    m_interimAnswers = 0;
     m_sentBeforeCall = m_stream->sentBytes();
     m_parser.reset(hasNoAnswerBody);
     m_stream->write(request);
@@ -108,6 +115,12 @@
     close();
 }
 
+void ClientConnection::useOnce(std::uint64_t callNumber)
+{
+    if (m_callNumber == callNumber)
+        m_isUsedOnce = true;
+}
+
 void ClientConnection::close()
 {
     m_observer = nullptr;
@@ -134,10 +147,14 @@
         }
         if (!m_parser.isComplete())
             continue;
-        if (m_isInterim)
-            m_parser.reset(m_hasNoAnswerBody);
-        else
+        if (!m_isInterim) {
             complete(!bytes.empty());
+        } else if (++m_interimAnswers > maxInterimAnswers) {
+            end(CallEnd::Malformed);
+            return;
+        } else {
+            m_parser.reset(m_hasNoAnswerBody);
+        }
     }
 }
 
@@ -197,7 +214,7 @@
 {
     HttpCallObserver *observer = m_observer;
     m_observer = nullptr;
-    if (m_keeps && !hasExtraBytes)
+    if (m_keeps && !m_isUsedOnce && !hasExtraBytes)
         becomeIdle();
     else
         close();
@@ -246,6 +263,7 @@
     PooledCall &operator=(const PooledCall &) = delete;
 
     bool hasSent() const override { return m_connection->hasSent(); }
+    void useConnectionOnce() override { m_connection->useOnce(m_number); }
 
 private:
     const std::shared_ptr<ClientConnection> m_connection;
--- a/src/burdockhead/net/httpclientpool.h
+++ b/src/burdockhead/net/httpclientpool.h
@@ -47,6 +47,10 @@
 
     // Whether a byte of the request has left this process.
     virtual bool hasSent() const = 0;
+
+    // Closes the connection after this call, whatever the peer says. For answers that don't tell
+    // which request they belong to: a second, late copy would be taken for the next answer.
+    virtual void useConnectionOnce() = 0;
 };
 
 // An HTTP/1.1 client with kept connections. A request is written once and never again.
--- a/src/burdockhead/net/shortcall.cpp
+++ b/src/burdockhead/net/shortcall.cpp
@@ -8,6 +8,9 @@
 // A kept connection that was idle for longer isn't used, since the other side may close it.
 constexpr Milliseconds maxIdle{2000};
 
+// A longer answer isn't waited for: the longest have the counts of a rank.
+constexpr std::size_t maxBodyBytes = 4194304;
+
 const char *failureOf(CallEnd end)
 {
     switch (end) {
@@ -53,6 +56,17 @@
     m_loop.cancel(m_timer);
 }
 
+void ShortCall::callBody(std::string_view bytes)
+{
+    if (m_body.size() + bytes.size() > maxBodyBytes) {
+        m_status = 0;
+        m_failure = "answer too long";
+        finish();
+        return;
+    }
+    m_body.append(bytes);
+}
+
 void ShortCall::callEnded(CallEnd end)
 {
     if (end != CallEnd::Complete)
--- a/src/burdockhead/net/shortcall.h
+++ b/src/burdockhead/net/shortcall.h
@@ -33,7 +33,7 @@
 
 private:
     void callHead(const HttpHead &head) override { m_status = head.m_status; }
-    void callBody(std::string_view bytes) override { m_body.append(bytes); }
+    void callBody(std::string_view bytes) override;
     void callEnded(CallEnd end) override;
     void finish();
 
--- a/tests/internal/gateway/test_eventsplitter.cpp
+++ b/tests/internal/gateway/test_eventsplitter.cpp
@@ -22,6 +22,20 @@
 
 BOOST_AUTO_TEST_SUITE(Events)
 
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_given_up)
+{
+    EventSplitter splitter{std::nullopt};
+    const std::string bytes(4096, 'x');
+    BOOST_TEST(splitter.append(event(1)) == event(1));
+    int pieces = 0;
+    for (; pieces < 1000 && !splitter.isEventTooLong(); ++pieces)
+        BOOST_TEST(splitter.append(bytes).empty());
+    BOOST_TEST(pieces < 100);
+    BOOST_TEST(!splitter.hasPartialEvent());
+    splitter.beginResponse();
+    BOOST_TEST(!splitter.isEventTooLong());
+}
+
 BOOST_AUTO_TEST_CASE(events_are_complete_however_the_bytes_are_split)
 {
     checkProperty("a stream in any pieces gives the same bytes",
--- a/tests/internal/net/test_httpclientpool.cpp
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -183,6 +183,35 @@
     BOOST_TEST(m_pool.connectionsMade() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_that_is_used_once_is_not_kept)
+{
+    for (unsigned count = 1; count <= 2; ++count) {
+        m_server.answerWith(wholeAnswer, false);
+        Observer observer;
+        const auto inProgress = call(observer);
+        inProgress->useConnectionOnce();
+        runUntil(m_loop, [&] { return observer.m_end.has_value(); });
+        BOOST_TEST((observer.m_end == CallEnd::Complete));
+        BOOST_TEST(m_pool.connectionsMade() == count);
+    }
+}
+
+// Also for interim answers that each are sound.
+BOOST_AUTO_TEST_CASE(heads_without_end_are_no_answers)
+{
+    std::string interim;
+    for (int count = 0; count < 20; ++count)
+        interim += "HTTP/1.1 102 Processing\r\n\r\n";
+    const std::string longValue(200000, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &bytes : {interim, head + "X-Long: " + longValue,
+                                     head + "Transfer-Encoding: chunked\r\n\r\n1;a=" + longValue}) {
+        m_server.answerWith(bytes, false);
+        Observer observer;
+        BOOST_TEST((end(observer) == CallEnd::Malformed));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_that_is_dropped_closes_its_connection)
 {
     Observer observer;
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -17,6 +17,7 @@
 ClientCall::ClientCall(HttpClientPool &pool, const SocketAddress &gateway,
                        const std::string &method, const std::string &path,
                        const HttpHeaders &headers, const std::string &body)
+    : m_requestId(findHeader(headers, "X-Request-Id").value_or(""))
 {
     HttpHeaders allHeaders = headers;
     allHeaders.push_back({"Content-Length", std::to_string(body.size())});
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -24,6 +24,7 @@
     bool isComplete() const { return m_end == CallEnd::Complete; }
     int status() const { return m_head.m_status; }
     std::string header(const char *name) const;
+    const std::string &requestId() const { return m_requestId; }
     const std::string &body() const { return m_body; }
     void disconnect() { m_call.reset(); }
 
@@ -32,6 +33,7 @@
     void callBody(std::string_view bytes) override { m_body.append(bytes); }
     void callEnded(CallEnd end) override { m_end = end; }
 
+    std::string m_requestId;
     HttpHead m_head;
     std::string m_body;
     std::optional<CallEnd> m_end;
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -1,5 +1,6 @@
 #include "freeport.h"
 #include "gatewayfixture.h"
+#include "unsoundendpoint.h"
 #include <burdockhead/gateway/endpointslowness.h>
 #include <burdockhead/http/httprequest.h>
 
@@ -195,6 +196,65 @@
     BOOST_TEST(request("GET", "/safe/x")->status() == 502);
 }
 
+// A second, late copy of an answer comes after the next request has been sent on the connection.
+// With the request's id in it, it is recognised; without one, the connection isn't used again.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_an_answer_never_reaches_the_next_client)
+{
+    for (const bool statesRequest : {true, false}) {
+        GatewayFixture fixture;
+        UnsoundEndpoint unsound(fixture.m_loop, UnsoundBytes::RepeatedAnswer, statesRequest);
+        fixture.start();
+        fixture.m_store.put("servers", "app-9", unsound.entry("app"));
+        for (int attempt = 0; attempt < 100 && unsound.requests() == 0; ++attempt)
+            fixture.request("GET", "/safe/x");
+        BOOST_REQUIRE(unsound.requests() > 0);
+        for (int count = 0; count < 60; ++count) {
+            const auto call = fixture.request(count % 2 == 0 ? "GET" : "POST",
+                                              count % 2 == 0 ? "/safe/x" : "/unsafe/x");
+            if (call->status() != 200)
+                BOOST_TEST(call->status() == 502);
+            else if (call->body().starts_with("answer to"))
+                BOOST_TEST(call->body() == "answer to " + call->requestId());
+        }
+    }
+}
+
+// Clients get another endpoint's answer or, beyond the retry budget, a clear failure.
+BOOST_AUTO_TEST_CASE(bytes_without_end_are_given_up_within_a_bound_of_memory)
+{
+    for (const UnsoundBytes kind :
+         {UnsoundBytes::EndlessHeader, UnsoundBytes::EndlessInterim, UnsoundBytes::EndlessBody,
+          UnsoundBytes::EndlessChunks, UnsoundBytes::EndlessChunkExtension,
+          UnsoundBytes::EndlessEvent}) {
+        GatewayFixture fixture;
+        UnsoundEndpoint unsound(fixture.m_loop, kind);
+        fixture.start();
+        const bool isStream = kind == UnsoundBytes::EndlessEvent;
+        fixture.m_store.put("servers", "unsound", unsound.entry(isStream ? "llm" : "app"));
+        std::vector<std::unique_ptr<ClientCall>> calls;
+        constexpr std::size_t callsAtOnce = 20;
+        for (int attempt = 0; attempt < 50 && unsound.requests() == 0; ++attempt) {
+            for (std::size_t count = 0; count < callsAtOnce; ++count)
+                calls.push_back(fixture.call("GET", isStream ? "/stream/x" : "/safe/x"));
+            fixture.waitFor(Milliseconds(50));
+        }
+        BOOST_TEST(unsound.requests() > 0);
+        fixture.waitUntil([&] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const auto &call) { return call->hasEnded(); });
+        });
+        std::size_t served = 0;
+        for (const auto &call : calls) {
+            served += call->status() == 200 ? 1 : 0;
+            BOOST_TEST(call->isComplete());
+            BOOST_TEST((call->status() == 200 || call->status() == 502),
+                       "kind " << static_cast<int>(kind) << ", status " << call->status());
+        }
+        BOOST_TEST(2 * served > calls.size());
+        BOOST_TEST(fixture.m_gateway->peakMemoryKilobytes() < 131072);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_address_taken_over_by_another_endpoint_runs_nothing)
 {
     start();
--- a/tests/public/processes/childprocess.cpp
+++ b/tests/public/processes/childprocess.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <unistd.h>
 
 namespace burdockhead {
@@ -78,4 +79,15 @@
     return false;
 }
 
+std::size_t ChildProcess::peakMemoryKilobytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::size_t kilobytes = 0;
+    for (std::string word; status >> word;) {
+        if (word == "VmHWM:")
+            status >> kilobytes;
+    }
+    return kilobytes;
+}
+
 } // namespace burdockhead
--- a/tests/public/processes/childprocess.h
+++ b/tests/public/processes/childprocess.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
 
     bool running();
 
+    // Returns the most memory that it has had resident; 0 if that can't be read.
+    std::size_t peakMemoryKilobytes() const;
+
 private:
     pid_t m_pid = -1;
     int m_status = 0;
--- /dev/null
+++ b/tests/standins/fleet/unsoundendpoint.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <burdockhead/net/tcpstream.h>
+
+#include <asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockhead::test {
+
+// What an unsound endpoint sends.
+enum class UnsoundBytes {
+    RepeatedAnswer, // Sends its last answer on the connection once more before the next.
+    EndlessHeader,  // A header whose value never ends.
+    EndlessInterim, // Interim answers without end.
+    EndlessBody,    // A body without a length.
+    EndlessChunks,  // Chunks without end.
+    EndlessChunkExtension,
+    EndlessEvent, // An event stream without an event boundary.
+};
+
+// An endpoint of the service "app", or of "llm" for events, that speaks bytes instead of HTTP. What
+// has no end goes on until the other side closes the connection.
+class UnsoundEndpoint
+{
+public:
+    UnsoundEndpoint(EventLoop &loop, UnsoundBytes kind, bool statesRequest = true);
+    ~UnsoundEndpoint();
+    UnsoundEndpoint(const UnsoundEndpoint &) = delete;
+    UnsoundEndpoint &operator=(const UnsoundEndpoint &) = delete;
+
+    // Its entry for service discovery, as JSON text.
+    std::string entry(const std::string &service) const;
+
+    std::size_t requests() const { return m_requests; }
+
+private:
+    struct Connection : TcpStreamOwner
+    {
+        void streamReceived(std::string_view bytes) override;
+        void streamEnded(StreamEnd) override;
+
+        UnsoundEndpoint *m_endpoint = nullptr;
+        std::shared_ptr<TcpStream> m_stream;
+        std::string m_lastAnswer;
+        bool m_isSending = false;
+    };
+
+    void accept();
+    void answer(Connection &connection, std::string_view request);
+    void sendMore();
+
+    EventLoop &m_loop;
+    const UnsoundBytes m_kind;
+    const bool m_statesRequest;
+    SocketAddress m_address;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::unique_ptr<Connection>> m_connections;
+    TimerId m_timer = 0;
+    std::size_t m_requests = 0;
+};
+
+} // namespace burdockhead::test
