--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -25,9 +25,6 @@
 // Maximum counts read per round over all ranks: about 40 KB, half of what the link of the
 // coordinator's VM carries in that time. Large groups are sampled.
 constexpr std::size_t maxCountsPerRound = 30000;
-// Maximum orders with a map that the coordinator sends itself; their recipients forward them to
-// further ranks.
-constexpr std::size_t maxMapOrders = 8;
 // How long an agent that didn't reply counts as unresponsive and its engine is polled instead.
 constexpr Milliseconds unresponsiveDuration{1000};
 // Keeps log lines short.
@@ -60,8 +57,6 @@
 constexpr int statusEngineUnknown = 404;
 // Timeout of an order with a map over a slow link.
 constexpr Milliseconds mapTimeout{300};
-// Orders to prepare are repeated after this; loading takes up to about a second.
-constexpr Milliseconds prepareRetryInterval{600};
 // Pause after a plan that found no change worth its loads; the demand shows more of itself
 // meanwhile.
 constexpr Milliseconds planInterval{150};
@@ -314,39 +309,15 @@
     return missing;
 }
 
-// Returns the active map, by its version or assembled from the experts that each rank holds; none
-// while the ranks are changing maps.
+// Returns the active map, by its version or assembled from the ranks' experts; none while the ranks
+// are changing maps.
 std::optional<ExpertMap> RankCoordinator::activeMap() const
 {
     const RankSnapshot &first = m_ranks.begin()->second.m_snapshot;
     const auto known = m_knownMaps.find(first.m_mapVersion);
     if (known != m_knownMaps.end())
         return known->second;
-    if (m_ranks.size() != first.m_rankCount)
-        return std::nullopt;
-    ExpertMap map;
-    map.m_layers.assign(m_shape->m_layers, LayerPlacement(m_shape->m_experts));
-    for (const auto &[rank, status] : m_ranks) {
-        const RankExperts &rankExperts = status.m_experts;
-        if (rankExperts.m_version != status.m_snapshot.m_mapVersion
-            || rankExperts.m_layers.size() != m_shape->m_layers)
-            return std::nullopt;
-        map.m_version = rankExperts.m_version;
-        for (std::size_t layer = 0; layer < rankExperts.m_layers.size(); ++layer) {
-            for (const std::uint32_t expert : rankExperts.m_layers[layer]) {
-                if (expert >= m_shape->m_experts)
-                    return std::nullopt;
-                map.m_layers[layer][expert].push_back(static_cast<std::uint16_t>(rank));
-            }
-        }
-    }
-    for (const LayerPlacement &layer : map.m_layers) {
-        for (const ExpertReplicas &replicas : layer) {
-            if (replicas.empty())
-                return std::nullopt;
-        }
-    }
-    return map;
+    return assembleMap(m_ranks, *m_shape);
 }
 
 void RankCoordinator::endRound()
@@ -472,7 +443,7 @@
                                        {"step", std::to_string(order.m_step)},
                                        {"status", std::to_string(status)}});
     if (order.m_type == RankOrderType::Prepare && status >= firstFailureStatus)
-        m_prepareRetryAt.erase(order.m_rank);
+        m_mapDistribution.onFailed(order.m_rank);
     if (!m_isAwaitingReplies)
         return;
     const auto rank = m_ranks.find(order.m_rank);
@@ -550,7 +521,7 @@
     planned->m_version = std::max(MapRollout::nextVersion(snapshots), newIncarnation().m_value);
     m_plan = Plan{std::move(*planned), snapshots.front().m_epoch};
     addKnownMap(m_plan->m_map);
-    m_prepareRetryAt.clear();
+    m_mapDistribution.reset();
     m_dependencies.m_log.add(
         "map_planned",
         {{"group", *m_group},
@@ -578,32 +549,25 @@
 
 void RankCoordinator::send(const std::vector<RankOrder> &orders)
 {
+    std::vector<MapDistribution::Recipient> mapRecipients;
     const TimePoint now = Clock::now();
-    std::vector<RankOrderMessage> messages;
-    std::vector<RankOrderMessage> mapMessages;
     for (const RankOrder &order : orders) {
-        if (!m_rankAddresses.contains(order.m_rank))
-            continue;
-        RankOrderMessage message = {order, m_ranks.at(order.m_rank).m_snapshot.m_rankCount, {}, {}};
-        if (order.m_type != RankOrderType::Prepare) {
-            messages.push_back(std::move(message));
+        const auto addresses = m_rankAddresses.find(order.m_rank);
+        if (addresses == m_rankAddresses.end())
             continue;
-        }
-        TimePoint &retryAt = m_prepareRetryAt[order.m_rank];
-        if (now < retryAt || !m_plan)
-            continue;
-        retryAt = now + prepareRetryInterval;
-        if (mapMessages.size() < maxMapOrders || isUnresponsive(order.m_rank)) {
-            message.m_map = m_plan->m_map;
-            mapMessages.push_back(std::move(message));
-        } else {
-            RankOrderMessage &relay = mapMessages[order.m_rank % mapMessages.size()];
-            relay.m_forwardTo.push_back({order.m_rank, m_rankAddresses.at(order.m_rank).m_agent});
-        }
+        if (order.m_type == RankOrderType::Prepare)
+            mapRecipients.push_back(
+                {order, addresses->second.m_agent, isUnresponsive(order.m_rank)});
+        else
+            send({order, m_ranks.at(order.m_rank).m_snapshot.m_rankCount, {}, {}},
+                 now + orderTimeout);
     }
-    messages.insert(messages.end(), mapMessages.begin(), mapMessages.end());
-    for (const RankOrderMessage &message : messages)
-        send(message, now + (message.m_map ? mapTimeout : orderTimeout));
+    if (!m_plan || mapRecipients.empty())
+        return;
+    const std::uint32_t rankCount = m_ranks.begin()->second.m_snapshot.m_rankCount;
+    for (const RankOrderMessage &message :
+         m_mapDistribution.messages(mapRecipients, rankCount, m_plan->m_map, now))
+        send(message, now + mapTimeout);
 }
 
 void RankCoordinator::send(const RankOrderMessage &message, TimePoint deadline)
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -7,6 +7,8 @@
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
 #include <burdockhead/rankagent/expertdemand.h>
+#include <burdockhead/rankagent/mapassembly.h>
+#include <burdockhead/rankagent/mapdistribution.h>
 #include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/maprollout.h>
 #include <burdockhead/rankagent/rankmessages.h>
@@ -117,16 +119,16 @@
     RankSampler m_rankSampler;
     MapRollout m_rollout;
     RelaySelector m_relaySelector;
+    MapDistribution m_mapDistribution;
     SlownessReporter m_slownessReporter;
     std::optional<Plan> m_plan;
-    std::map<std::uint32_t, RankStatus> m_ranks;            // Of the last full round.
+    RankStatuses m_ranks;                                   // Of the last full round.
     std::map<std::uint32_t, RankAddresses> m_rankAddresses; // Of the last full round.
     std::uint64_t m_snapshotsReadAt = 0; // Start of the last full round, by bootMilliseconds().
     bool m_isFullRound = true;           // All ranks are polled, not only the sampled ones.
     TimePoint m_nextFullRoundAt;
     std::vector<std::unique_ptr<ShortCall>> m_polls;
     std::vector<std::unique_ptr<ShortCall>> m_orderCalls;
-    std::map<std::uint32_t, TimePoint> m_prepareRetryAt;
     std::size_t m_pendingPolls = 0;
     TimerId m_timer = 0;
     TimePoint m_nextPlanAt;
