--- a/tests/internal/net/test_httpclientpool.cpp
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -203,9 +203,11 @@
     for (int count = 0; count < 20; ++count)
         interim += "HTTP/1.1 102 Processing\r\n\r\n";
     const std::string longValue(200000, 'x');
-    const std::string head = "HTTP/1.1 200 OK\r\n";
-    for (const std::string &bytes : {interim, head + "X-Long: " + longValue,
-                                     head + "Transfer-Encoding: chunked\r\n\r\n1;a=" + longValue}) {
+    std::string header = "HTTP/1.1 200 OK\r\nX-Long: ";
+    header += longValue;
+    std::string chunkExtension = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=";
+    chunkExtension += longValue;
+    for (const std::string &bytes : {interim, header, chunkExtension}) {
         m_server.answerWith(bytes, false);
         Observer observer;
         BOOST_TEST((end(observer) == CallEnd::Malformed));
--- a/tests/internal/rankagent/test_mapplanner.cpp
+++ b/tests/internal/rankagent/test_mapplanner.cpp
@@ -43,7 +43,7 @@
 
 // Simulates changes of the map one after the other while demand shifts every 3.4 s, with loads that
 // take 142 ms each. Returns the mean skew over time.
-double meanSkewOverTime(MapChangeLimits changeLimits)
+double meanSkewOverTime(const MapChangeLimits &changeLimits)
 {
     constexpr double shiftInterval = 3400;
     constexpr double loadMilliseconds = 142;
