--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -37,6 +37,10 @@
 constexpr Milliseconds mayExitBeforeEnd{2500};
 constexpr Milliseconds exitBeforeEnd{600};
 constexpr Milliseconds stopPollInterval{50};
+constexpr int statusOk = 200;
+constexpr int statusMalformed = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
 // How long a stopping process waits for the requests of clients that have connected last.
 constexpr Milliseconds lastRequestsTime{200};
 
@@ -411,20 +415,20 @@
 {
     const bool isReady = m_peers.local().m_state == PeerState::Ready;
     if (m_protocols.m_calls.isReadinessRequest(exchange.head()))
-        exchange.answer(isReady ? 200 : 503, {}, "");
+        exchange.answer(isReady ? statusOk : statusUnavailable, {}, "");
     else
-        exchange.answer(404, {}, "");
+        exchange.answer(statusNotFound, {}, "");
 }
 
 void GatewayProcess::handleAddresses(HttpExchange &exchange)
 {
     if (!m_protocols.m_calls.isAddressRequest(exchange.head())) {
-        exchange.answer(404, {}, "");
+        exchange.answer(statusNotFound, {}, "");
         return;
     }
     const auto addresses = m_peers.readyClients(Clock::now());
     if (addresses.empty()) {
-        exchange.answer(503, {}, "");
+        exchange.answer(statusUnavailable, {}, "");
         return;
     }
     const GatewayResponse response = m_protocols.m_calls.addressResponse(addresses, addressTtl);
@@ -445,11 +449,11 @@
     const auto report = readRankReport(exchange.body());
     if (!report) {
         m_log.add("rank_report_unreadable", {{"bytes", std::to_string(exchange.body().size())}});
-        exchange.answer(400, {}, "");
+        exchange.answer(statusMalformed, {}, "");
         return;
     }
     const bool isNew = m_rankReports.record(*report, Clock::now());
-    exchange.answer(200, {}, "");
+    exchange.answer(statusOk, {}, "");
     if (!isNew)
         return;
     m_log.add("rank_report", {{"group", report->m_group},
@@ -475,7 +479,8 @@
         .set(static_cast<double>(m_log.droppedLines()));
     m_metrics.gauge("burdockhead_gateway_endpoint_connections")
         .set(static_cast<double>(m_endpointClient.connectionsMade()));
-    exchange.answer(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.toPrometheus());
+    exchange.answer(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                    m_metrics.toPrometheus());
 }
 
 } // namespace
