Log how a gateway learned of a removed endpoint and how long it uses it on

The lines of a removal could not tell a late watch from a list after an outage, nor say until when the endpoint would still get requests. endpoint_gone now has source, revision and usable_ms.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -61,7 +61,8 @@
     StoreFollowerDependencies followerParts();
     PeerRecord initialRecord() const;
     bool applyConfigurationChanges(const std::vector<StoreChange> &changes);
-    bool applyEndpointChanges(const std::vector<StoreChange> &changes, TimePoint madeAfter);
+    bool applyEndpointChanges(const std::vector<StoreChange> &changes, TimePoint madeAfter,
+                              const char *source);
     void applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter);
     bool applyDataCentreChanges(const std::vector<StoreChange> &changes);
     void applyDataCentreList(const std::vector<StoreChange> &changes);
@@ -134,7 +135,7 @@
                               applyEndpointList(changes, madeAfter);
                           },
                           [this](const auto &changes, TimePoint madeAfter) {
-                              return applyEndpointChanges(changes, madeAfter);
+                              return applyEndpointChanges(changes, madeAfter, "watch");
                           }},
                          Random(systemSeed()))
     , m_dataCentreFollower(
@@ -214,9 +215,9 @@
 }
 
 // The time for which a removed endpoint is still used counts from the earliest time at which it may
-// have left.
+// have left. The source is the kind of call that returned the changes.
 bool GatewayProcess::applyEndpointChanges(const std::vector<StoreChange> &changes,
-                                          TimePoint madeAfter)
+                                          TimePoint madeAfter, const char *source)
 {
     const TimePoint now = Clock::now();
     bool hasNewChanges = false;
@@ -232,10 +233,15 @@
             const auto current = m_endpoints.find(EndpointName(change.m_name));
             const Milliseconds usableTime = m_settings.m_bounds.m_leaveTime
                                             * removalFractionNumerator / removalFractionDenominator;
-            m_endpoints.remove(EndpointName(change.m_name), madeAfter + usableTime);
+            const TimePoint usableUntil = madeAfter + usableTime;
+            m_endpoints.remove(EndpointName(change.m_name), usableUntil);
             const auto age = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
             m_log.add("endpoint_gone",
-                      {{"endpoint", change.m_name}, {"max_age_ms", std::to_string(age.count())}});
+                      {{"endpoint", change.m_name},
+                       {"source", source},
+                       {"revision", std::to_string(change.m_revision)},
+                       {"max_age_ms", std::to_string(age.count())},
+                       {"usable_ms", std::to_string(millisecondsUntil(usableUntil, now))}});
             hasNewChanges = true;
             continue;
         }
@@ -267,7 +273,7 @@
         if (!isListed)
             allChanges.push_back({name, true, 0, {}});
     }
-    applyEndpointChanges(allChanges, madeAfter);
+    applyEndpointChanges(allChanges, madeAfter, "list");
 }
 
 void GatewayProcess::setDataCentreOut(const std::string &name, bool isOut)
