--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -3,7 +3,9 @@
 #include "freeport.h"
 #include <burdockhead/http/httprequest.h>
 
+#include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace burdockhead::test {
 
@@ -70,6 +72,12 @@
     wakeWatches();
 }
 
+void StoreStandIn::silenceWatches()
+{
+    for (const Watch &watch : std::exchange(m_watches, {}))
+        m_silenced.push_back(watch.m_exchange);
+}
+
 void StoreStandIn::forgetHistory()
 {
     m_forgottenUpTo = ++m_revision;
@@ -134,7 +142,9 @@
     m_loop.callAt(Clock::now() + wait, [this, kind, weak = std::weak_ptr(exchange), after] {
         const auto waiting = weak.lock();
         const Watch watch = {waiting, kind, after};
-        if (!waiting || m_isSilent || tell(watch))
+        const bool isSilenced =
+            std::find(m_silenced.begin(), m_silenced.end(), waiting) != m_silenced.end();
+        if (!waiting || m_isSilent || isSilenced || tell(watch))
             return;
         std::erase_if(m_watches, [&](const Watch &other) { return other.m_exchange == waiting; });
         if (after < m_forgottenUpTo)
--- a/tests/standins/fleet/storestandin.h
+++ b/tests/standins/fleet/storestandin.h
@@ -25,6 +25,9 @@
     // Answers nothing from now on, or answers again; what waits stays unanswered.
     void setSilent(bool isSilent);
 
+    // Never answers the watches that are waiting now, as if their connections had gone silent.
+    void silenceWatches();
+
     // Answers every call with this status; 0 answers as usual.
     void setRefusal(int status) { m_refusal = status; }
 
@@ -77,6 +80,7 @@
     std::map<std::string, std::map<std::string, std::string>> m_objects;
     std::vector<Event> m_history;
     std::vector<Watch> m_watches;
+    std::vector<std::shared_ptr<HttpExchange>> m_silenced;
     std::uint64_t m_revision = 10;
     std::uint64_t m_forgottenUpTo = 0;
     std::size_t m_calls = 0;
