Stop using an endpoint as soon as its removal is known

Ruled out for the report: outages (the store's counts show none) and gateways that had just started (one of the two ran through). Why it works: no estimate of time decides any more for an endpoint that leaves.

--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -227,6 +227,18 @@
                       [&](const auto &endpoint) { return isUsable(*endpoint, now); }));
 }
 
+std::size_t EndpointTable::registeredCount(const GroupName &service) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(), [](const auto &endpoint) {
+            return !endpoint->m_registration.m_isLeaving && !endpoint->m_isReplaced
+                   && endpoint->m_usableUntil == TimePoint::max();
+        }));
+}
+
 KnownEndpointPointer EndpointTable::find(const EndpointName &name) const
 {
     const auto found = m_endpoints.find(name);
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -89,6 +89,9 @@
     // Returns the number of usable endpoints of the service, whatever the state of their breakers.
     std::size_t usableCount(const GroupName &service, TimePoint now) const;
 
+    // Returns the number of the service's endpoints that are registered and not leaving.
+    std::size_t registeredCount(const GroupName &service) const;
+
     KnownEndpointPointer find(const EndpointName &name) const;
     const std::map<EndpointName, KnownEndpointPointer> &endpoints() const { return m_endpoints; }
 
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -3,6 +3,7 @@
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
 #include <burdockhead/gateway/rankreports.h>
+#include <burdockhead/gateway/removalguard.h>
 #include <burdockhead/gateway/storefollower.h>
 #include <burdockhead/observe/log.h>
 #include <burdockhead/process/processstart.h>
@@ -23,10 +24,6 @@
 constexpr Milliseconds maxStartTime{500};
 constexpr Milliseconds updateInterval{250};
 constexpr Milliseconds settingsCheckInterval{1000};
-// Fraction of the permitted time for which a removed endpoint is still used, since entries expire
-// while the store is unavailable and are registered again.
-constexpr int removalFractionNumerator = 3;
-constexpr int removalFractionDenominator = 4;
 // Fraction of the shutdown grace period in which requests are still accepted: later ones might not
 // finish in time, as the longest streams take about five eighths of it.
 constexpr int acceptFractionNumerator = 3;
@@ -64,6 +61,7 @@
     bool applyEndpointChanges(const std::vector<StoreChange> &changes, TimePoint madeAfter,
                               const char *source);
     void applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter);
+    void removeEndpoint(const StoreChange &change, TimePoint madeAfter, const char *source);
     bool applyDataCentreChanges(const std::vector<StoreChange> &changes);
     void applyDataCentreList(const std::vector<StoreChange> &changes);
     void setDataCentreOut(const std::string &name, bool isOut);
@@ -92,6 +90,7 @@
     HttpClientPool m_endpointClient;
     HttpClientPool m_storeClient;
     EndpointTable m_endpoints;
+    RemovalGuard m_removalGuard;
     PeerTable m_peers;
     LoadTable m_loads;
     RankReports m_rankReports;
@@ -214,8 +213,32 @@
     return true;
 }
 
-// The time for which a removed endpoint is still used counts from the earliest time at which it may
-// have left. The source is the kind of call that returned the changes.
+void GatewayProcess::removeEndpoint(const StoreChange &change, TimePoint madeAfter,
+                                    const char *source)
+{
+    const EndpointName name(change.m_name);
+    const auto endpoint = m_endpoints.find(name);
+    if (!endpoint || endpoint->m_usableUntil != TimePoint::max())
+        return;
+    const TimePoint now = Clock::now();
+    m_endpoints.remove(name, now);
+    const std::size_t remaining = m_endpoints.registeredCount(endpoint->m_registration.m_service);
+    // One that is leaving or replaced has got no requests for some time.
+    if (!endpoint->m_registration.m_isLeaving && !endpoint->m_isReplaced)
+        endpoint->m_usableUntil =
+            m_removalGuard.usableUntil({endpoint->m_registration.m_service, remaining, madeAfter},
+                                       m_settings.m_bounds.m_leaveTime, now);
+    const auto maxAge = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
+    const auto usableTime = millisecondsUntil(endpoint->m_usableUntil, now);
+    m_log.add("endpoint_gone", {{"endpoint", change.m_name},
+                                {"source", source},
+                                {"revision", std::to_string(change.m_revision)},
+                                {"max_age_ms", std::to_string(maxAge.count())},
+                                {"remaining", std::to_string(remaining)},
+                                {"usable_ms", std::to_string(usableTime)}});
+}
+
+// The source is the kind of call that returned the changes, which were made after that time.
 bool GatewayProcess::applyEndpointChanges(const std::vector<StoreChange> &changes,
                                           TimePoint madeAfter, const char *source)
 {
@@ -230,18 +253,7 @@
         }
         const auto *registration = std::get_if<EndpointRegistration>(&change.m_value);
         if (change.m_isRemoved || registration == nullptr) {
-            const auto current = m_endpoints.find(EndpointName(change.m_name));
-            const Milliseconds usableTime = m_settings.m_bounds.m_leaveTime
-                                            * removalFractionNumerator / removalFractionDenominator;
-            const TimePoint usableUntil = madeAfter + usableTime;
-            m_endpoints.remove(EndpointName(change.m_name), usableUntil);
-            const auto age = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
-            m_log.add("endpoint_gone",
-                      {{"endpoint", change.m_name},
-                       {"source", source},
-                       {"revision", std::to_string(change.m_revision)},
-                       {"max_age_ms", std::to_string(age.count())},
-                       {"usable_ms", std::to_string(millisecondsUntil(usableUntil, now))}});
+            removeEndpoint(change, madeAfter, source);
             hasNewChanges = true;
             continue;
         }
