--- a/src/burdockhead/gateway/callprotocol.h
+++ b/src/burdockhead/gateway/callprotocol.h
@@ -21,6 +21,8 @@
     std::optional<std::uint64_t> m_lastEventId;  // A stream resumes after this event.
     std::uint32_t m_promptTokens = 0;
     std::uint32_t m_outputTokens = 0; // The client's estimate, or its maximum.
+    // Identifiers of the parts of the prompt that other requests may share, in order.
+    std::vector<std::string> m_promptParts;
 
     friend bool operator==(const CallAttributes &, const CallAttributes &) = default;
 };
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -37,6 +37,8 @@
 // used: the time in which service discovery learns of the change.
 constexpr int misdirectedStatus = 421;
 constexpr Milliseconds misdirectedBackoff{2000};
+// Parts of a prompt that a log line names.
+constexpr std::size_t maxLoggedParts = 8;
 
 Milliseconds toMilliseconds(Duration span)
 {
@@ -49,6 +51,15 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Returns the first parts of a prompt, separated by commas.
+std::string toText(const std::vector<std::string> &parts)
+{
+    std::string text;
+    for (std::size_t index = 0; index < std::min(parts.size(), maxLoggedParts); ++index)
+        text += (index == 0 ? "" : ",") + parts[index];
+    return text;
+}
+
 std::string toText(Duration span)
 {
     return std::to_string(toMilliseconds(span).count());
@@ -261,6 +272,7 @@
                                     {"attempt", std::to_string(m_attempts + 1)},
                                     {"in_flight", std::to_string(m_endpoint->m_inFlight)},
                                     {"config", std::to_string(m_configurationVersion)},
+                                    {"parts", toText(m_attributes.m_promptParts)},
                                     {"left_ms", toText(remainingTime)},
                                     {"elapsed_ms", toText(elapsed())}});
     m_call =
@@ -372,6 +384,9 @@
     case CallEnd::NotSent:
         m_endpoint->m_breaker.recordFailure(Clock::now());
         m_triedEndpoints.push_back(m_lastEndpoint);
+        m_router.dependencies().m_log.add("not_sent", {{"request", m_attributes.m_id},
+                                                       {"endpoint", m_lastEndpoint.text()},
+                                                       {"elapsed_ms", toText(elapsed())}});
         releaseEndpoint(false);
         if (++m_failedConnects > maxFailedConnects)
             refuse(ErrorKind::NoEndpoint, defaultRetryDelay);
@@ -472,6 +487,7 @@
                            {{"request", m_attributes.m_id},
                             {"endpoint", m_lastEndpoint.text()},
                             {"reason", reason},
+                            {"faulty", m_responseAttributes.m_faultyEndpoint},
                             {"attempts", std::to_string(m_attempts)},
                             {"max_attempts", std::to_string(m_route.m_maxAttempts)},
                             {"fleet", std::to_string(dependencies.m_peers.gatewayCount(now))},
--- a/tests/platform/test_platformcallprotocol.cpp
+++ b/tests/platform/test_platformcallprotocol.cpp
@@ -43,6 +43,8 @@
     BOOST_TEST(attributes.m_lastEventId.value() == 12U);
     BOOST_TEST(attributes.m_promptTokens == 1460U);
     BOOST_TEST(attributes.m_outputTokens == 80U);
+    // The last part is the request's own.
+    BOOST_TEST((attributes.m_promptParts == std::vector<std::string>{"5c1e07a2"}));
 }
 
 BOOST_AUTO_TEST_CASE(missing_or_malformed_headers_are_ignored)
@@ -52,7 +54,8 @@
     head.m_headers = {{"X-Deadline-Ms", "soon"},
                       {"Last-Event-Id", "x"},
                       {"Authorization", "Basic abc"},
-                      {"X-Token-Count", ","}};
+                      {"X-Token-Count", ","},
+                      {"X-Prompt-Prefix", "5c1e07a2"}};
     BOOST_TEST((protocol.parseRequest(head) == CallAttributes()));
 }
 
