--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -124,12 +124,28 @@
                                                  const std::string &credential,
                                                  Milliseconds remainingTime)
 {
-    const HttpHeaders headers = {{"Host", "h.example"},
-                                 {"X-Request-Id", "r" + std::to_string(++m_lastRequest)},
-                                 {"X-Deadline-Ms", std::to_string(remainingTime.count())},
-                                 {"X-Model", "m"},
-                                 {"X-Tenant", "forged"},
-                                 {"Authorization", "Token " + credential}};
+    return call(method, path,
+                HttpHeaders{{"X-Deadline-Ms", std::to_string(remainingTime.count())},
+                            {"Authorization", "Token " + credential}});
+}
+
+std::unique_ptr<ClientCall> GatewayFixture::callWithPrompt(const std::string &path,
+                                                           const std::string &parts)
+{
+    return call("POST", path,
+                HttpHeaders{{"X-Deadline-Ms", "3000"},
+                            {"Authorization", "Token key"},
+                            {"X-Prompt-Prefix", parts}});
+}
+
+std::unique_ptr<ClientCall> GatewayFixture::call(const std::string &method, const std::string &path,
+                                                 const HttpHeaders &furtherHeaders)
+{
+    HttpHeaders headers = {{"Host", "h.example"},
+                           {"X-Request-Id", "r" + std::to_string(++m_lastRequest)},
+                           {"X-Model", "m"},
+                           {"X-Tenant", "forged"}};
+    headers.insert(headers.end(), furtherHeaders.begin(), furtherHeaders.end());
     return std::make_unique<ClientCall>(m_pool, m_clients, method, path, headers,
                                         method == "POST" ? "body" : "");
 }
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -67,6 +67,9 @@
                                      const std::string &credential = "key",
                                      Milliseconds remainingTime = Milliseconds(3000));
 
+    // Sends a stream whose prompt has these parts, "ID:TOKENS" separated by commas.
+    std::unique_ptr<ClientCall> callWithPrompt(const std::string &path, const std::string &parts);
+
     // Sends the request and waits for its end.
     std::unique_ptr<ClientCall> request(const std::string &method, const std::string &path,
                                         const std::string &credential = "key",
@@ -86,6 +89,8 @@
     SocketAddress m_peers;
 
 private:
+    std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
+                                     const HttpHeaders &furtherHeaders);
     std::unique_ptr<ClientCall> query(const SocketAddress &address, const std::string &target);
 
     std::filesystem::path m_folder;
--- a/tests/public/processes/childprocess.cpp
+++ b/tests/public/processes/childprocess.cpp
@@ -19,6 +19,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // Otherwise ports that the test closes stay open in the child.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     std::vector<char *> pointers;
     pointers.reserve(arguments.size() + 1);
     for (const std::string &argument : arguments)
--- a/tests/standins/fleet/endpointstandin.cpp
+++ b/tests/standins/fleet/endpointstandin.cpp
@@ -26,18 +26,52 @@
     , m_id(std::move(id))
     , m_service(std::move(service))
     , m_address(freeLoopbackAddress())
-    , m_listener(loop, [this](const auto &exchange) { handle(exchange); })
 {
+    open();
+}
+
+void EndpointStandIn::open()
+{
+    m_listener =
+        std::make_unique<HttpListener>(m_loop, [this](const auto &exchange) { handle(exchange); });
     std::string error;
-    if (!m_listener.start(m_address, error))
+    if (!m_listener->start(m_address, error))
         throw std::runtime_error(error);
 }
 
+void EndpointStandIn::crashOnPart(const std::string &part, Milliseconds downTime,
+                                  std::function<void(const std::string &)> restarted)
+{
+    m_crashPart = part;
+    m_downTime = downTime;
+    m_restarted = std::move(restarted);
+}
+
+bool EndpointStandIn::crashesOn(const HttpExchange &exchange) const
+{
+    const std::string parts = "," + header(exchange.head(), "X-Prompt-Prefix");
+    return !m_crashPart.empty() && parts.find("," + m_crashPart + ":") != std::string::npos;
+}
+
+void EndpointStandIn::crash()
+{
+    if (!m_listener)
+        return;
+    ++m_crashes;
+    m_listener.reset();
+    m_loop.callAt(Clock::now() + m_downTime, [this] {
+        const std::string previousId = m_id;
+        m_id = previousId.substr(0, previousId.find('.')) + "." + std::to_string(m_crashes);
+        open();
+        m_restarted(previousId);
+    });
+}
+
 std::string EndpointStandIn::entry(const std::string &state) const
 {
     return R"({"service":")" + m_service + R"(","address":")" + m_address.toString()
-           + R"(","zone":"a","slots":4,"state":")" + state
-           + R"(","coldRemainingMs":0,"born":1777694836900,"sequence":1})";
+           + R"(","zone":"a","slots":4,"state":")" + state + R"(","coldRemainingMs":0,"born":)"
+           + std::to_string(1777694836900 + m_crashes) + R"(,"sequence":1})";
 }
 
 std::string EndpointStandIn::events(int first, int last)
@@ -99,6 +133,11 @@
     HttpHeaders headers = answerHeaders(*exchange);
     headers.push_back({"Content-Type", "text/event-stream"});
     exchange->startAnswer(200, headers);
+    if (crashesOn(*exchange)) {
+        // Not at once, since this is called by the listener that goes.
+        m_loop.callAt(Clock::now(), [this] { crash(); });
+        return;
+    }
     const std::string last = header(exchange->head(), "Last-Event-Id");
     stream(exchange, last.empty() ? 1 : std::stoi(last) + 1);
 }
--- a/tests/standins/fleet/endpointstandin.h
+++ b/tests/standins/fleet/endpointstandin.h
@@ -2,6 +2,8 @@
 
 #include <burdockhead/net/httplistener.h>
 
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,6 +48,13 @@
     // Waits before each answer, and between events.
     void setDelay(Milliseconds delay) { m_delay = delay; }
 
+    // Crashes as it begins to answer a request whose prompt has that part: cuts all connections
+    // and opens the port again after that time, as another endpoint. Then calls `restarted` with
+    // the id that it had.
+    void crashOnPart(const std::string &part, Milliseconds downTime,
+                     std::function<void(const std::string &)> restarted);
+    std::size_t crashes() const { return m_crashes; }
+
     // The endpoint that has the address now is another one.
     void replaceBy(const std::string &id) { m_id = id; }
 
@@ -59,6 +68,9 @@
     static constexpr int lastEvent = 6;
 
 private:
+    void open();
+    void crash();
+    bool crashesOn(const HttpExchange &exchange) const;
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void run(const std::shared_ptr<HttpExchange> &exchange);
     void stream(const std::shared_ptr<HttpExchange> &exchange, int next);
@@ -68,7 +80,11 @@
     std::string m_id;
     const std::string m_service;
     SocketAddress m_address;
-    HttpListener m_listener;
+    std::unique_ptr<HttpListener> m_listener;
+    std::string m_crashPart;
+    Milliseconds m_downTime{0};
+    std::function<void(const std::string &)> m_restarted;
+    std::size_t m_crashes = 0;
     Misbehaviour m_behaviour = Misbehaviour::None;
     Milliseconds m_delay{0};
     std::vector<RanRequest> m_ran;
