Keep prompt parts that crash endpoints from them, in agreement of all gateways

Cause: a query of death. Breakers judge endpoints and the retry budget counts repeats of one request; nothing looked for what the requests of several crashes have in common. Why it works: a part that crashes each endpoint that begins to answer it is a suspect of every crash and never sound, while others clear themselves as soon as an endpoint answers them.

--- a/src/burdockhead/base/errorkind.cpp
+++ b/src/burdockhead/base/errorkind.cpp
@@ -43,6 +43,8 @@
     {NotCurrent, "not_current", 503, notRun, true, true,
      "This process can't tell whether its configuration is the latest."},
     {NotReady, "not_ready", 503, notRun, true, true, "This process has no configuration yet."},
+    {PromptQuarantined, "prompt_quarantined", 503, notRun, false, false,
+     "A part of the prompt is in quarantine, since endpoints crashed on it."},
     {StaleIncarnation, "stale_incarnation", 409, notRun, false, false,
      "The request is bound to an earlier run of the endpoint's agent."},
     {StaleFence, "stale_fence", 409, notRun, false, false,
--- a/src/burdockhead/base/errorkind.h
+++ b/src/burdockhead/base/errorkind.h
@@ -27,6 +27,7 @@
     DataCentreOut,
     NotCurrent,
     NotReady,
+    PromptQuarantined,
     StaleIncarnation,
     StaleFence,
     OutcomeUnknown,
--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t minShare = 3;
 // Bytes of responses that are buffered for all requests together: a small part of a VM's memory.
 constexpr std::size_t maxBufferedBytes = 33554432;
+// Queued calls that are passed over in one go because they must be sent apart from others.
+constexpr std::size_t maxPostponedCalls = 32;
 // Delay until dispatch is retried for queued calls that no endpoint accepted.
 constexpr Milliseconds dispatchRetryDelay{25};
 
@@ -179,19 +181,31 @@
 {
     ServiceLimiter &serviceLimiter = this->limiter(service);
     const TimePoint now = Clock::now();
-    while (serviceLimiter.queue().size() > 0 && serviceLimiter.mayStart(now)) {
+    std::vector<QueuedCall> postponed;
+    std::vector<std::shared_ptr<ProxiedCall>> quarantined;
+    while (serviceLimiter.queue().size() > 0 && serviceLimiter.mayStart(now)
+           && postponed.size() < maxPostponedCalls) {
         const auto queuedCall = serviceLimiter.queue().pop(now);
         const auto found = m_calls.find(queuedCall->m_id);
         if (found == m_calls.end())
             continue;
         const auto call = found->second;
-        if (!call->dispatch()) {
-            serviceLimiter.queue().push(*queuedCall);
-            break;
+        if (call->isQuarantined()) {
+            quarantined.push_back(call);
+            continue;
         }
+        if (call->dispatch())
+            continue;
+        postponed.push_back(*queuedCall);
+        if (!call->isIsolated())
+            break;
     }
+    for (const QueuedCall &queuedCall : postponed)
+        serviceLimiter.queue().push(queuedCall);
     if (serviceLimiter.queue().size() > 0)
         scheduleDispatch(service);
+    for (const auto &call : quarantined)
+        call->refuseQuarantined();
 }
 
 void CallRouter::remove(CallId id)
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -12,6 +12,7 @@
 #include <burdockhead/net/httpclientpool.h>
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
+#include <burdockhead/quarantine/promptguard.h>
 
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
     EndpointTable &m_endpoints;
     PeerTable &m_peers;
     LoadTable &m_loads;
+    PromptGuard &m_promptGuard;
     LineSink &m_log;
     Metrics &m_metrics;
     const GatewayBounds &m_bounds;
--- a/src/burdockhead/gateway/calltimes.h
+++ b/src/burdockhead/gateway/calltimes.h
@@ -2,6 +2,8 @@
 
 #include <burdockhead/base/timepoint.h>
 
+#include <cstddef>
+
 namespace burdockhead {
 
 // Times of one client's request in a gateway, over all its attempts at endpoints: from them follows
@@ -18,7 +20,7 @@
     // received an event.
     void recordQueued(TimePoint now) { m_queuedSince = now; }
     void recordDequeued(TimePoint now) { m_queueingTime += now - m_queuedSince; }
-    void recordSent(TimePoint now) { m_sentAt = now; }
+    void recordSent(TimePoint now);
     void recordEvent(TimePoint now);
 
     TimePoint arrivedAt() const { return m_arrivedAt; }
@@ -30,6 +32,10 @@
     // Whether an event came since the request was last sent.
     bool hasEventSinceSent() const { return m_hasEvent && m_lastEventAt >= m_sentAt; }
 
+    // The events since the request was last sent, and when the first of them came.
+    std::size_t eventsSinceSent() const { return m_eventsSinceSent; }
+    TimePoint firstEventSinceSentAt() const { return m_firstEventSinceSentAt; }
+
     bool hasEvent() const { return m_hasEvent; }
 
     // Time between arrival and the first event; zero without one.
@@ -48,6 +54,8 @@
     Duration m_queueingTime{0};
     Duration m_longestPause{0};
     bool m_hasEvent = false;
+    std::size_t m_eventsSinceSent = 0;
+    TimePoint m_firstEventSinceSentAt;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -1,4 +1,5 @@
 #include <burdockhead/gateway/endpointtable.h>
+#include <burdockhead/quarantine/isolation.h>
 
 #include <algorithm>
 
@@ -155,6 +156,8 @@
 KnownEndpointPointer EndpointTable::select(const EndpointCriteria &criteria, TimePoint now)
 {
     const std::vector<KnownEndpointPointer> allEndpoints = usableEndpoints(criteria.m_service, now);
+    if (criteria.m_isIsolated)
+        return selectIsolated(allEndpoints, criteria, now);
     if (criteria.m_position && allEndpoints.size() > maxUndividedEndpoints) {
         KnownEndpointPointer preferred =
             leastLoaded(preferredSubset(allEndpoints, *criteria.m_position), criteria, now);
@@ -165,6 +168,21 @@
     return leastLoaded(allEndpoints, criteria, now);
 }
 
+// Selects among the endpoints that are this gateway's for isolated requests and have none.
+KnownEndpointPointer
+EndpointTable::selectIsolated(const std::vector<KnownEndpointPointer> &allEndpoints,
+                              const EndpointCriteria &criteria, TimePoint now)
+{
+    const GatewayPosition position = criteria.m_position.value_or(GatewayPosition());
+    std::vector<KnownEndpointPointer> candidates;
+    for (std::size_t index = 0; index < allEndpoints.size(); ++index) {
+        if (allEndpoints[index]->m_isolatedInFlight == 0
+            && isIsolationEndpoint(index, allEndpoints.size(), position.m_index, position.m_count))
+            candidates.push_back(allEndpoints[index]);
+    }
+    return leastLoaded(candidates, criteria, now);
+}
+
 KnownEndpointPointer EndpointTable::leastLoaded(const std::vector<KnownEndpointPointer> &candidates,
                                                 const EndpointCriteria &criteria, TimePoint now)
 {
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -22,7 +22,8 @@
     EndpointBreaker m_breaker;
     SlidingWindowCounter m_recentRequests{Milliseconds(1000)};
     unsigned m_inFlight = 0;
-    TimePoint m_lastResponseAt; // When response bytes were last received.
+    unsigned m_isolatedInFlight = 0; // Of them, those that are sent apart from each other.
+    TimePoint m_lastResponseAt;      // When response bytes were last received.
     // Requests are sent to it before this time. Set when the registration is removed, reset when
     // the endpoint is registered again.
     TimePoint m_usableUntil = TimePoint::max();
@@ -40,6 +41,7 @@
     // This gateway's position, if each gateway prefers a subset of the service's endpoints; none if
     // each uses all endpoints alike.
     std::optional<GatewayPosition> m_position = {};
+    bool m_isIsolated = false; // The request must not meet another isolated one.
 };
 
 // Holds all endpoints from service discovery and selects one per request: the one where a further
@@ -102,6 +104,8 @@
     bool isUsable(const KnownEndpoint &endpoint, TimePoint now) const;
     std::vector<KnownEndpointPointer> usableEndpoints(const GroupName &service,
                                                       TimePoint now) const;
+    KnownEndpointPointer selectIsolated(const std::vector<KnownEndpointPointer> &allEndpoints,
+                                        const EndpointCriteria &criteria, TimePoint now);
     KnownEndpointPointer leastLoaded(const std::vector<KnownEndpointPointer> &candidates,
                                      const EndpointCriteria &criteria, TimePoint now);
     double relativeLoad(const KnownEndpoint &endpoint) const;
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -80,6 +80,10 @@
     void handleCoordinator(const std::shared_ptr<HttpExchange> &exchange);
     void handleRankReport(HttpExchange &exchange);
     void updateLoads();
+    void updateQuarantines();
+    void logPromptGuardEvents();
+    void reportRestarts(const EndpointRegistration &registration,
+                        const KnownEndpointPointer &previous);
 
     GatewaySettings m_settings;
     const GatewayProtocols m_protocols;
@@ -93,6 +97,7 @@
     RemovalGuard m_removalGuard;
     PeerTable m_peers;
     LoadTable m_loads;
+    PromptGuard m_promptGuard;
     RankReports m_rankReports;
     PeerLink m_peerLink;
     CallRouter m_router;
@@ -120,9 +125,10 @@
     , m_endpoints(Random(systemSeed()))
     , m_peers(initialRecord(), settings.m_seeds, Random(systemSeed()))
     , m_loads(settings.m_name, m_peers.local().m_incarnation, Random(systemSeed()))
-    , m_peerLink(m_loop, m_peers, m_loads)
-    , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_loads, m_log,
-                m_metrics, m_settings.m_bounds},
+    , m_promptGuard(settings.m_name)
+    , m_peerLink(m_loop, m_peers, m_loads, m_promptGuard)
+    , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_loads,
+                m_promptGuard, m_log, m_metrics, m_settings.m_bounds},
                Random(systemSeed()))
     , m_configurationFollower(
           followerParts(), StoreCollection::Configuration,
@@ -221,6 +227,7 @@
     if (!endpoint || endpoint->m_usableUntil != TimePoint::max())
         return;
     const TimePoint now = Clock::now();
+    m_promptGuard.recordGone({name, endpoint->m_registration.m_startedAt}, now);
     m_endpoints.remove(name, now);
     const std::size_t remaining = m_endpoints.registeredCount(endpoint->m_registration.m_service);
     // One that is leaving or replaced has got no requests for some time.
@@ -261,6 +268,8 @@
         hasNewChanges |= !previous || previous->m_registration != *registration;
         const bool wasLeaving = previous && previous->m_registration.m_isLeaving;
         const bool isNew = m_endpoints.update(*registration);
+        if (isNew)
+            reportRestarts(*registration, previous);
         if (isNew || wasLeaving != registration->m_isLeaving)
             m_log.add(isNew ? "endpoint_new" : "endpoint_changed",
                       {{"endpoint", change.m_name},
@@ -273,6 +282,20 @@
     return hasNewChanges;
 }
 
+// An endpoint that has started ends the one that had its name or its address.
+void GatewayProcess::reportRestarts(const EndpointRegistration &registration,
+                                    const KnownEndpointPointer &previous)
+{
+    const TimePoint now = Clock::now();
+    if (previous)
+        m_promptGuard.recordGone(
+            {previous->m_registration.m_name, previous->m_registration.m_startedAt}, now);
+    for (const auto &[name, other] : m_endpoints.endpoints()) {
+        if (other->m_isReplaced && other->m_registration.m_address == registration.m_address)
+            m_promptGuard.recordGone({name, other->m_registration.m_startedAt}, now);
+    }
+}
+
 // Applies a full list; endpoints that it doesn't contain are removed.
 void GatewayProcess::applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter)
 {
@@ -353,6 +376,7 @@
     m_endpoints.removeExpired(Clock::now());
     m_router.refresh();
     updateLoads();
+    updateQuarantines();
     m_loop.callAt(Clock::now() + updateInterval, [this] { refresh(); });
 }
 
@@ -489,6 +513,47 @@
     m_router.setSlowness(m_loads.slowEndpoints(now));
 }
 
+// Decides on quarantines, and tells the other gateways what is new.
+void GatewayProcess::updateQuarantines()
+{
+    const TimePoint now = Clock::now();
+    const GatewayPosition position = m_peers.localPosition(now);
+    m_promptGuard.setPosition(position.m_index, position.m_count);
+    m_promptGuard.refresh(now);
+    logPromptGuardEvents();
+    m_metrics.gauge("burdockhead_gateway_quarantined_parts")
+        .set(static_cast<double>(m_promptGuard.quarantines().activeCount()));
+    if (m_promptGuard.hasNews())
+        m_peerLink.broadcastQuarantines();
+}
+
+void GatewayProcess::logPromptGuardEvents()
+{
+    const TimePoint now = Clock::now();
+    for (const PromptGuardEvent &event : m_promptGuard.takeEvents()) {
+        if (const auto *crash = std::get_if<CrashReport>(&event)) {
+            std::string suspects;
+            for (const std::string &suspect : crash->m_suspects)
+                suspects += (suspects.empty() ? "" : ",") + suspect;
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - crash->m_crashedAt);
+            m_log.add("endpoint_crashed", {{"endpoint", crash->m_endpoint.m_name.text()},
+                                           {"service", crash->m_service.text()},
+                                           {"age_ms", std::to_string(age.count())},
+                                           {"suspects", suspects}});
+            continue;
+        }
+        const auto &entry = std::get<QuarantineEntry>(event);
+        m_log.add(entry.m_isActive ? "part_quarantined" : "part_released",
+                  {{"part", entry.m_part.m_id},
+                   {"service", entry.m_part.m_service.text()},
+                   {"revision", std::to_string(entry.m_revision)},
+                   {"level", std::to_string(entry.m_level)},
+                   {"outages", std::to_string(entry.m_outages)},
+                   {"decided_by", entry.m_decidedBy.text()},
+                   {"probe_ms", std::to_string(millisecondsUntil(entry.m_probeAt, now))}});
+    }
+}
+
 void GatewayProcess::handleMetrics(HttpExchange &exchange)
 {
     m_metrics.gauge("burdockhead_gateway_open_requests")
--- a/src/burdockhead/gateway/peerlink.cpp
+++ b/src/burdockhead/gateway/peerlink.cpp
@@ -7,6 +7,7 @@
 #include <asio/buffer.hpp>
 #include <asio/ip/udp.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace burdockhead {
@@ -14,8 +15,10 @@
 namespace {
 
 constexpr Milliseconds heartbeatInterval{400};
-constexpr std::size_t maxDatagramBytes = 8192;
+constexpr std::size_t maxDatagramBytes = 65536;
 constexpr std::size_t maxRecords = 128;
+// Gateways that are told of a crash at once; the others hear of it by the heartbeats of these.
+constexpr std::size_t maxDirectTargets = 32;
 constexpr std::uint64_t messageVersion = 2;
 
 SocketAddress readAddress(MessageReader &reader)
@@ -71,21 +74,24 @@
 
 struct PeerLink::Private
 {
-    Private(EventLoop &loop, PeerTable &table, LoadTable &loads)
+    Private(EventLoop &loop, PeerTable &table, LoadTable &loads, PromptGuard &promptGuard)
         : m_loop(loop)
         , m_table(table)
         , m_loads(loads)
+        , m_promptGuard(promptGuard)
         , m_socket(loop.context())
     {}
 
     void receive();
     void sendHeartbeat();
     void send(const std::vector<SocketAddress> &targets);
+    void send(const QuarantineMessage &message, const std::vector<SocketAddress> &targets);
     void send(const std::string &message, const std::vector<SocketAddress> &targets);
 
     EventLoop &m_loop;
     PeerTable &m_table;
     LoadTable &m_loads;
+    PromptGuard &m_promptGuard;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     std::array<char, maxDatagramBytes> m_buffer{};
@@ -93,19 +99,21 @@
 
 void PeerLink::Private::receive()
 {
-    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
-                                [this](const asio::error_code &error, std::size_t count) {
-                                    if (error == asio::error::operation_aborted)
-                                        return;
-                                    if (!error) {
-                                        const std::string_view datagram(m_buffer.data(), count);
-                                        if (const auto records = readPeerMessage(datagram))
-                                            m_table.receive(*records, Clock::now());
-                                        else if (const auto reports = readLoadMessage(datagram))
-                                            m_loads.receive(*reports, Clock::now());
-                                    }
-                                    receive();
-                                });
+    m_socket.async_receive_from(
+        asio::buffer(m_buffer), m_sender, [this](const asio::error_code &error, std::size_t count) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error) {
+                const std::string_view datagram(m_buffer.data(), count);
+                if (const auto records = readPeerMessage(datagram))
+                    m_table.receive(*records, Clock::now());
+                else if (const auto reports = readLoadMessage(datagram))
+                    m_loads.receive(*reports, Clock::now());
+                else if (const auto message = readQuarantineMessage(datagram, Clock::now()))
+                    m_promptGuard.receive(*message, Clock::now());
+            }
+            receive();
+        });
 }
 
 void PeerLink::Private::send(const std::vector<SocketAddress> &targets)
@@ -113,6 +121,14 @@
     const TimePoint now = Clock::now();
     send(writePeerMessage(m_table.recordsToSend(now)), targets);
     send(writeLoadMessage(m_loads.reportsToSend(now)), targets);
+    send(m_promptGuard.messageToSend(now), targets);
+}
+
+void PeerLink::Private::send(const QuarantineMessage &message,
+                             const std::vector<SocketAddress> &targets)
+{
+    if (!message.isEmpty())
+        send(writeQuarantineMessage(message, Clock::now()), targets);
 }
 
 void PeerLink::Private::send(const std::string &message, const std::vector<SocketAddress> &targets)
@@ -132,8 +148,8 @@
     m_loop.callAt(Clock::now() + heartbeatInterval, [this] { sendHeartbeat(); });
 }
 
-PeerLink::PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads)
-    : m_d(std::make_unique<Private>(loop, table, loads))
+PeerLink::PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads, PromptGuard &promptGuard)
+    : m_d(std::make_unique<Private>(loop, table, loads, promptGuard))
 {}
 
 PeerLink::~PeerLink() = default;
@@ -164,4 +180,11 @@
     m_d->send(m_d->m_table.livePeers(Clock::now()));
 }
 
+void PeerLink::broadcastQuarantines()
+{
+    std::vector<SocketAddress> targets = m_d->m_table.livePeers(Clock::now());
+    targets.resize(std::min(targets.size(), maxDirectTargets));
+    m_d->send(m_d->m_promptGuard.newsToSend(Clock::now()), targets);
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/gateway/peerlink.h
+++ b/src/burdockhead/gateway/peerlink.h
@@ -3,6 +3,7 @@
 #include <burdockhead/gateway/loadtable.h>
 #include <burdockhead/gateway/peertable.h>
 #include <burdockhead/net/eventloop.h>
+#include <burdockhead/quarantine/promptguard.h>
 
 #include <functional>
 #include <memory>
@@ -16,12 +17,12 @@
 std::string writePeerMessage(const std::vector<PeerRecord> &records);
 std::optional<std::vector<PeerRecord>> readPeerMessage(std::string_view datagram);
 
-// Exchanges the messages of a PeerTable and a LoadTable over UDP. A load report follows each
-// heartbeat as a datagram of its own, which gateways that don't know it ignore.
+// Exchanges the messages of a PeerTable, a LoadTable and a PromptGuard over UDP. Those of the last
+// two follow each heartbeat as datagrams of their own, which gateways that don't know them ignore.
 class PeerLink
 {
 public:
-    PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads);
+    PeerLink(EventLoop &loop, PeerTable &table, LoadTable &loads, PromptGuard &promptGuard);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
@@ -33,6 +34,9 @@
     // Sends a heartbeat to every live gateway at once, such as before shutdown.
     void broadcast();
 
+    // Tells what is known of crashes and quarantines to many gateways at once.
+    void broadcastQuarantines();
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -37,6 +37,10 @@
 // used: the time in which service discovery learns of the change.
 constexpr int misdirectedStatus = 421;
 constexpr Milliseconds misdirectedBackoff{2000};
+// From then on a stream has shown that its endpoint doesn't crash as it begins to answer: some
+// events, and a time that is longer than a slow step.
+constexpr std::size_t minSoundEvents = 3;
+constexpr Milliseconds minSoundTime{300};
 // Parts of a prompt that a log line names.
 constexpr std::size_t maxLoggedParts = 8;
 
@@ -106,6 +110,8 @@
     m_attributes = m_router.dependencies().m_protocol.parseRequest(m_exchange->head());
     if (!resolveRoute())
         return;
+    m_promptParts = makePromptParts(m_service, m_attributes.m_promptParts);
+    m_router.dependencies().m_promptGuard.recordArrival(m_service, m_promptParts);
     m_events = EventSplitter(m_attributes.m_lastEventId);
     setTimer(m_deadline);
     m_router.limiter(m_service).retryBudget().recordRequest(m_times.arrivedAt());
@@ -191,6 +197,10 @@
 // Sends the request, or queues it if it can still succeed.
 void ProxiedCall::sendOrQueue()
 {
+    if (isQuarantined()) {
+        refuseQuarantined();
+        return;
+    }
     const TimePoint now = Clock::now();
     m_times.recordQueued(now);
     ServiceLimiter &limiter = m_router.limiter(m_service);
@@ -231,6 +241,8 @@
     const std::size_t maxPerSecond = m_router.maxPerSecond(m_service);
     EndpointCriteria criteria = {m_service, maxPerSecond, m_triedEndpoints,
                                  m_router.position(m_service)};
+    m_isIsolated = dependencies.m_promptGuard.judge(m_promptParts, now) == PromptVerdict::Isolate;
+    criteria.m_isIsolated = m_isIsolated;
     KnownEndpointPointer endpoint = dependencies.m_endpoints.select(criteria, now);
     if (!endpoint
         && m_triedEndpoints.size() >= dependencies.m_endpoints.usableCount(m_service, now)) {
@@ -252,6 +264,9 @@
     m_isStreaming = false;
     m_events.beginResponse();
     dependencies.m_endpoints.onRequestSent(*m_endpoint, now);
+    m_endpoint->m_isolatedInFlight += m_isIsolated ? 1 : 0;
+    m_isSound = false;
+    dependencies.m_promptGuard.onSent(m_promptParts, now);
     m_router.limiter(m_service).onStarted();
 
     const HttpHead &request = m_exchange->head();
@@ -273,6 +288,7 @@
                                     {"in_flight", std::to_string(m_endpoint->m_inFlight)},
                                     {"config", std::to_string(m_configurationVersion)},
                                     {"parts", toText(m_attributes.m_promptParts)},
+                                    {"apart", m_isIsolated ? "yes" : "no"},
                                     {"left_ms", toText(remainingTime)},
                                     {"elapsed_ms", toText(elapsed())}});
     m_call =
@@ -287,9 +303,45 @@
     const auto endpoint = std::move(m_endpoint);
     m_endpoint.reset();
     m_router.dependencies().m_endpoints.onRequestEnded(*endpoint);
+    if (m_isIsolated && endpoint->m_isolatedInFlight > 0)
+        --endpoint->m_isolatedInFlight;
     m_router.limiter(m_service).onEnded(Clock::now() - m_times.sentAt(), isSuccess);
 }
 
+EndpointRun ProxiedCall::endpointRun() const
+{
+    return {m_endpoint->m_registration.m_name, m_endpoint->m_registration.m_startedAt};
+}
+
+// The request is a suspect until its endpoint has been answering it for some time.
+void ProxiedCall::reportBroken()
+{
+    m_router.dependencies().m_promptGuard.recordBroken(
+        endpointRun(), m_service, m_isSound ? PromptParts() : m_promptParts, Clock::now());
+}
+
+// The endpoint responds, and may blame another one for it.
+void ProxiedCall::reportResponse()
+{
+    PromptGuard &promptGuard = m_router.dependencies().m_promptGuard;
+    if (m_responseHead->m_status != misdirectedStatus)
+        promptGuard.recordAlive(m_lastEndpoint, Clock::now());
+    const std::string &faulty = m_responseAttributes.m_faultyEndpoint;
+    if (!faulty.empty() && faulty != m_lastEndpoint.text())
+        promptGuard.recordGone({EndpointName(faulty), 0}, Clock::now());
+}
+
+void ProxiedCall::reportSoundness(bool isComplete)
+{
+    const TimePoint now = Clock::now();
+    const bool isAnswering = m_times.eventsSinceSent() >= minSoundEvents
+                             && now - m_times.firstEventSinceSentAt() >= minSoundTime;
+    if (m_isSound || !(isComplete || isAnswering))
+        return;
+    m_isSound = true;
+    m_router.dependencies().m_promptGuard.recordSound(m_promptParts, now);
+}
+
 void ProxiedCall::callHead(const HttpHead &head)
 {
     const auto self = shared_from_this();
@@ -305,6 +357,7 @@
         return;
     }
     m_responseHead = head;
+    reportResponse();
     m_isStreaming = m_route.m_kind == RouteKind::Stream && head.m_status == 200
                     && m_responseAttributes.m_isSigned;
     if (!m_isStreaming)
@@ -354,6 +407,8 @@
     const std::string events = m_events.append(bytes);
     if (!events.empty()) {
         recordEventTimes();
+        m_router.dependencies().m_promptGuard.recordProgress(m_service, Clock::now());
+        reportSoundness(false);
         if (!m_exchange->hasStarted())
             m_exchange->startAnswer(m_streamHead->m_status, clientHeaders(*m_streamHead));
         m_exchange->sendPart(events);
@@ -382,6 +437,7 @@
             onResponseComplete();
         return;
     case CallEnd::NotSent:
+        m_router.dependencies().m_promptGuard.recordGone(endpointRun(), Clock::now());
         m_endpoint->m_breaker.recordFailure(Clock::now());
         m_triedEndpoints.push_back(m_lastEndpoint);
         m_router.dependencies().m_log.add("not_sent", {{"request", m_attributes.m_id},
@@ -394,6 +450,7 @@
             sendOrQueue();
         return;
     case CallEnd::Broken:
+        reportBroken();
         onAttemptFailed("connection broke");
         return;
     case CallEnd::Malformed:
@@ -405,9 +462,11 @@
 void ProxiedCall::onStreamComplete()
 {
     if (m_events.hasPartialEvent()) {
+        reportBroken();
         onAttemptFailed("stream ended within an event");
         return;
     }
+    reportSoundness(true);
     m_endpoint->m_breaker.recordSuccess();
     releaseEndpoint(true);
     if (!m_exchange->hasStarted())
@@ -430,6 +489,8 @@
         m_endpoint->m_breaker.recordFailure(Clock::now());
     else
         m_endpoint->m_breaker.recordSuccess();
+    if (!isFailure && !isUnsigned)
+        reportSoundness(true);
     releaseEndpoint(!isFailure);
     m_mayHaveRun = true;
     if ((isFailure || isUnsigned || m_exchange->hasStarted()) && m_route.isRepeatable()
@@ -580,6 +641,31 @@
     finish("refused", answerFor(kind).m_httpStatus, toString(kind));
 }
 
+bool ProxiedCall::isQuarantined() const
+{
+    return m_router.dependencies().m_promptGuard.judge(m_promptParts, Clock::now())
+           == PromptVerdict::Refuse;
+}
+
+// No time for a retry is given, since none is known.
+void ProxiedCall::refuseQuarantined()
+{
+    constexpr ErrorKind kind = ErrorKind::PromptQuarantined;
+    const GatewayDependencies &dependencies = m_router.dependencies();
+    const QuarantineEntry *entry =
+        dependencies.m_promptGuard.findQuarantine(m_promptParts, Clock::now());
+    const std::string part = entry == nullptr ? "" : entry->m_part.m_id;
+    dependencies.m_log.add("quarantine_refused", {{"request", m_attributes.m_id}, {"part", part}});
+    dependencies.m_metrics.counter("burdockhead_gateway_quarantine_refusals_total").add();
+    if (m_exchange->hasStarted() || m_mayHaveRun) {
+        fail(m_exchange->hasStarted() ? ErrorKind::StreamBroken : ErrorKind::EndpointFailed,
+             toString(kind));
+        return;
+    }
+    sendError(kind, {});
+    finish(toString(kind), answerFor(kind).m_httpStatus, part.c_str());
+}
+
 void ProxiedCall::fail(ErrorKind kind, const char *reason)
 {
     if (m_exchange->hasStarted())
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -9,6 +9,8 @@
 #include <burdockhead/gateway/route.h>
 #include <burdockhead/net/httpclientpool.h>
 #include <burdockhead/net/httpexchange.h>
+#include <burdockhead/quarantine/crashreport.h>
+#include <burdockhead/quarantine/promptpart.h>
 
 #include <memory>
 #include <optional>
@@ -38,6 +40,13 @@
     // Sends the request to an endpoint; false if none is eligible now.
     bool dispatch();
 
+    // Returns whether the last dispatch had to keep the request apart from others of its kind.
+    bool isIsolated() const { return m_isIsolated; }
+
+    // Returns whether a part of the prompt is in quarantine, and ends the request for that reason.
+    bool isQuarantined() const;
+    void refuseQuarantined();
+
     // Resumes the response at another endpoint if its own has become so slow that it holds up the
     // others of its group, and if the route and the retry budget allow it.
     void moveFromSlowEndpoint();
@@ -55,6 +64,10 @@
     void setTimer(TimePoint deadline);
     TimePoint latestUsefulStart() const;
     void releaseEndpoint(bool isSuccess);
+    EndpointRun endpointRun() const;
+    void reportBroken();
+    void reportResponse();
+    void reportSoundness(bool isComplete);
     void clearResponseBody();
 
     void onResponseComplete();
@@ -82,6 +95,7 @@
     CallAttributes m_attributes;
     Route m_route;
     GroupName m_service;
+    PromptParts m_promptParts;
     WorkspaceName m_workspace;
     std::uint64_t m_configurationVersion = 0;
     TimePoint m_deadline;
@@ -95,6 +109,8 @@
     unsigned m_attempts = 0; // Attempts that reached an endpoint or may have.
     unsigned m_failedConnects = 0;
     bool m_mayHaveRun = false;
+    bool m_isIsolated = false; // In its last dispatch.
+    bool m_isSound = false;    // Its endpoint has been answering it for long enough.
     bool m_isQueued = false;
     bool m_isFinished = false;
 
--- a/src/burdockhead/observe/metricdescription.cpp
+++ b/src/burdockhead/observe/metricdescription.cpp
@@ -73,6 +73,10 @@
         {"burdockhead_gateway_lines_dropped", "gauge", "",
          "Log lines that were left out since the start, over their budget or for want of a "
          "reader."},
+        {"burdockhead_gateway_quarantined_parts", "gauge", "",
+         "Prompt parts that the gateway holds in quarantine."},
+        {"burdockhead_gateway_quarantine_refusals_total", "counter", "",
+         "Requests that were refused because a part of their prompt is in quarantine."},
         {"burdockhead_map_changes_total", "counter", "",
          "Expert maps that the agent beside rank 0 has brought into use."},
     };
--- a/src/burdockhead/operators/requestexplanation.cpp
+++ b/src/burdockhead/operators/requestexplanation.cpp
@@ -22,6 +22,8 @@
     {"endpoint_failed",
      "the endpoint answered with a failure, or no endpoint gave a usable answer"},
     {"refused", "it was refused without having run, with a retry delay"},
+    {"prompt_quarantined",
+     "it was refused without having run, since endpoints crashed on a part of its prompt"},
     {"cancelled", "the client disconnected before the response was complete"},
     {"outcome_unknown", "it may have run once and is not retried"},
     {"deadline_exceeded", "its endpoint did not finish before the deadline"},
@@ -47,6 +49,12 @@
         [](const LogRecord &left, const LogRecord &right) { return left.m_time < right.m_time; });
 }
 
+// Returns whether a list separated by commas has the item.
+bool listContains(const std::string &list, const std::string &item)
+{
+    return ("," + list + ",").find("," + item + ",") != std::string::npos;
+}
+
 void appendRecords(std::string &text, const std::vector<LogRecord> &records, std::int64_t start)
 {
     for (const LogRecord &record : records) {
@@ -74,6 +82,7 @@
     if (m_requestRecords.empty())
         return;
     findContext(records);
+    findQuarantine(records);
     findCause();
 }
 
@@ -100,6 +109,29 @@
     sortByTime(m_contextRecords);
 }
 
+// Adds what put a part of the request's prompt in quarantine: the crashes of which it was a suspect
+// and the decisions on it, however long ago and in whichever process.
+void RequestExplanation::findQuarantine(const std::vector<LogRecord> &records)
+{
+    std::string part;
+    for (const LogRecord &record : m_requestRecords) {
+        if (record.m_event == "quarantine_refused")
+            part = record.field("part");
+    }
+    if (part.empty())
+        return;
+    for (const LogRecord &record : records) {
+        const bool isDecision =
+            (record.m_event == "part_quarantined" || record.m_event == "part_released")
+            && record.field("part") == part;
+        const bool isCrash =
+            record.m_event == "endpoint_crashed" && listContains(record.field("suspects"), part);
+        if (isDecision || isCrash)
+            m_quarantineRecords.push_back(record);
+    }
+    sortByTime(m_quarantineRecords);
+}
+
 void RequestExplanation::findCause()
 {
     const LogRecord &lastRecord = m_requestRecords.back();
@@ -123,6 +155,10 @@
         text += "other events of its processes:\n";
         appendRecords(text, m_contextRecords, start);
     }
+    if (!m_quarantineRecords.empty()) {
+        text += "how its prompt came into quarantine:\n";
+        appendRecords(text, m_quarantineRecords, start);
+    }
     text += hasCause() ? "cause: " + m_cause + "\n"
                        : "cause: unknown, the end of the request is not in the logs\n";
     return text;
--- a/src/burdockhead/operators/requestexplanation.h
+++ b/src/burdockhead/operators/requestexplanation.h
@@ -27,12 +27,15 @@
 private:
     // Collects the records of other events that may have affected the request.
     void findContext(const std::vector<LogRecord> &records);
+    // Collects the crashes and decisions that put a part of its prompt in quarantine.
+    void findQuarantine(const std::vector<LogRecord> &records);
     // Derives the cause from the last record of the request.
     void findCause();
 
     std::string m_request;
     std::vector<LogRecord> m_requestRecords;
     std::vector<LogRecord> m_contextRecords;
+    std::vector<LogRecord> m_quarantineRecords;
     std::string m_cause;
 };
 
--- /dev/null
+++ b/src/burdockhead/quarantine/crashevidence.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <burdockhead/quarantine/crashreport.h>
+#include <burdockhead/quarantine/promptpart.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace burdockhead {
+
+// What speaks against a part. Crashes in quick succession, and those before which the service has
+// made no progress since the last one, are one outage: a loss of power, or a failing group.
+struct Incrimination
+{
+    std::size_t m_outages = 0; // In which the part is a suspect of most crashes.
+    std::size_t m_crashes = 0; // The most in one outage of all of which it is a suspect.
+
+    friend bool operator==(const Incrimination &, const Incrimination &) = default;
+};
+
+// What is known of crashes and of the prompt parts that may have caused them. A part that crashes
+// each endpoint that begins to answer a request with it is a suspect of all its crashes, and is
+// never sound; other parts are suspects by chance, and clear themselves when an endpoint answers a
+// request with them. Bounded: old crashes are forgotten, and a crash keeps a limited number of
+// suspects.
+class CrashEvidence
+{
+public:
+    // Merges a report; reports on the same run of an endpoint add up. Returns whether it says
+    // anything new.
+    bool add(const CrashReport &report);
+
+    // Records that an endpoint answered a request with this part. Kept for parts of known crashes
+    // only. Returns whether the part was a suspect until now.
+    bool recordSound(const PromptPart &part, TimePoint at);
+
+    // Returns when the part was last sound, if it has been a suspect.
+    std::optional<TimePoint> lastSoundAt(const PromptPart &part) const;
+
+    // Returns whether there was a crash with this part since it was last sound.
+    bool isSuspect(const PromptPart &part) const { return m_suspects.contains(part); }
+    const std::set<PromptPart> &suspects() const { return m_suspects; }
+
+    // Returns what speaks against the part since it was last sound and since that time. Crashes
+    // that `isExplained` are left out.
+    Incrimination
+    incriminationOf(const PromptPart &part, TimePoint after,
+                    const std::function<bool(const CrashReport &)> &isExplained) const;
+
+    // Returns the crashes after that time, the latest first.
+    std::vector<CrashReport> crashesAfter(TimePoint time) const;
+
+    void removeExpired(TimePoint now);
+
+private:
+    struct Crash
+    {
+        CrashReport m_report;
+        std::size_t m_outage = 0; // Index of the first crash of the outage.
+    };
+
+    void refresh();
+
+    std::vector<Crash> m_crashes; // By time.
+    std::map<PromptPart, TimePoint> m_lastSoundAt;
+    std::set<PromptPart> m_suspects;
+};
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/quarantine/promptguard.cpp
@@ -0,0 +1,296 @@
+#include <burdockhead/quarantine/promptguard.h>
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace burdockhead {
+
+namespace {
+
+// Time after new evidence in which other gateways add what they know.
+constexpr Milliseconds evidenceTime{300};
+// How long crashes are told to other gateways, by which each of hundreds has heard of them.
+constexpr Milliseconds tellingTime{10000};
+constexpr std::size_t maxCrashesToTell = 4;
+constexpr std::size_t maxSoundPartsToTell = 64;
+// Quarantines are told less often, a few at a time.
+constexpr Milliseconds entriesInterval{2000};
+constexpr std::size_t maxEntriesToTell = 16;
+// A trial without a result is repeated after this time.
+constexpr Milliseconds probeTime{15000};
+
+// A part in fewer of the requests than this is uncommon: by chance it is hardly a suspect twice.
+constexpr double commonShare = 0.1;
+// A part in more of the requests than this stands for the service itself.
+constexpr double generalShare = 0.67;
+// Outages without a sound answer in between after which a part is put in quarantine.
+constexpr std::size_t outagesOfUncommonPart = 2;
+constexpr std::size_t outagesOfCommonPart = 3;
+constexpr std::size_t outagesOfGeneralPart = 5;
+// The same for crashes within one outage: hardly any part is a suspect of this many by chance.
+constexpr std::size_t crashesOfUncommonPart = 3;
+
+} // namespace
+
+PromptGuard::PromptGuard(ProcessName localName)
+    : m_localName(std::move(localName))
+{}
+
+void PromptGuard::setPosition(std::size_t index, std::size_t count)
+{
+    m_index = index;
+    m_count = std::max<std::size_t>(count, 1);
+}
+
+void PromptGuard::recordArrival(const GroupName &service, const PromptParts &parts)
+{
+    if (!parts.empty())
+        m_recentPrompts.record(service, parts);
+}
+
+// One gateway makes the trials of a part, one at a time.
+bool PromptGuard::mayProbe(const QuarantineEntry &entry, TimePoint now) const
+{
+    if (now < entry.m_probeAt)
+        return false;
+    const auto probed = m_probedUntil.find(entry.m_part);
+    if (probed != m_probedUntil.end() && now < probed->second)
+        return false;
+    const std::string &id = entry.m_part.m_id;
+    return XXH3_64bits(id.data(), id.size()) % m_count == m_index;
+}
+
+const QuarantineEntry *PromptGuard::findQuarantine(const PromptParts &parts, TimePoint now) const
+{
+    for (const PromptPart &part : parts) {
+        const QuarantineEntry *entry = m_quarantines.findActive(part);
+        if (entry != nullptr && !mayProbe(*entry, now))
+            return entry;
+    }
+    return nullptr;
+}
+
+PromptVerdict PromptGuard::judge(const PromptParts &parts, TimePoint now) const
+{
+    if (findQuarantine(parts, now) != nullptr)
+        return PromptVerdict::Refuse;
+    const bool isSuspect = std::any_of(parts.begin(), parts.end(), [this](const PromptPart &part) {
+        return m_evidence.isSuspect(part) || m_quarantines.findActive(part) != nullptr;
+    });
+    return isSuspect ? PromptVerdict::Isolate : PromptVerdict::Admit;
+}
+
+void PromptGuard::onSent(const PromptParts &parts, TimePoint now)
+{
+    for (const PromptPart &part : parts) {
+        if (m_quarantines.findActive(part) != nullptr)
+            m_probedUntil[part] = now + probeTime;
+    }
+}
+
+void PromptGuard::recordSound(const PromptParts &parts, TimePoint now)
+{
+    for (const PromptPart &part : parts) {
+        m_soundParts.record(part, now);
+        m_hasNews |= m_evidence.recordSound(part, now);
+        if (const auto lifted = m_quarantines.lift(part, m_localName, now)) {
+            m_events.emplace_back(*lifted);
+            m_hasNews = true;
+        }
+    }
+}
+
+void PromptGuard::recordBroken(const EndpointRun &endpoint, const GroupName &service,
+                               const PromptParts &suspects, TimePoint now)
+{
+    const auto progress = m_lastProgressAt.find(service);
+    const TimePoint lastProgressAt =
+        progress == m_lastProgressAt.end() ? TimePoint() : progress->second;
+    m_detector.recordBroken(endpoint, service, suspects, lastProgressAt, now);
+}
+
+void PromptGuard::recordAlive(const EndpointName &endpoint, TimePoint now)
+{
+    m_detector.recordAlive(endpoint, now);
+}
+
+void PromptGuard::recordGone(const EndpointRun &endpoint, TimePoint now)
+{
+    const auto report = m_detector.recordGone(endpoint, now);
+    if (!report || report->m_suspects.empty())
+        return;
+    m_events.emplace_back(*report);
+    add(*report, now);
+}
+
+void PromptGuard::add(const CrashReport &report, TimePoint now)
+{
+    if (!m_evidence.add(report))
+        return;
+    for (const std::string &id : report.m_suspects) {
+        const PromptPart part{report.m_service, id};
+        if (const auto soundAt = m_soundParts.lastAt(part))
+            m_evidence.recordSound(part, *soundAt);
+    }
+    m_decideAt = std::min(m_decideAt, now + evidenceTime);
+    m_hasNews = true;
+}
+
+// Returns what speaks against the part since it was last decided on. What a quarantine explains
+// counts only against a part of which nothing good is known.
+Incrimination PromptGuard::incriminationOf(const PromptPart &part) const
+{
+    const auto found = m_quarantines.entries().find(part);
+    TimePoint after;
+    if (found != m_quarantines.entries().end())
+        after = found->second.m_isActive ? found->second.m_probeAt : found->second.m_changedAt;
+    const bool mayBeExplained = isKnownAsSound(part) || shareOf(part) > generalShare;
+    return m_evidence.incriminationOf(part, after, [&](const CrashReport &crash) {
+        return mayBeExplained
+               && std::any_of(crash.m_suspects.begin(), crash.m_suspects.end(),
+                              [&](const std::string &id) {
+                                  return m_quarantines.findActive({crash.m_service, id}) != nullptr;
+                              });
+    });
+}
+
+bool PromptGuard::isKnownAsSound(const PromptPart &part) const
+{
+    return m_evidence.lastSoundAt(part).has_value();
+}
+
+// A gateway that has seen few requests takes each part for a general one, and so leaves the
+// decision to others.
+double PromptGuard::shareOf(const PromptPart &part) const
+{
+    return m_recentPrompts.shareOf(part).value_or(1);
+}
+
+std::size_t PromptGuard::outagesNeeded(const PromptPart &part) const
+{
+    if (m_quarantines.findActive(part) != nullptr)
+        return 1; // A trial.
+    const double share = shareOf(part);
+    if (share > generalShare)
+        return outagesOfGeneralPart;
+    return share >= commonShare || isKnownAsSound(part) ? outagesOfCommonPart
+                                                        : outagesOfUncommonPart;
+}
+
+void PromptGuard::refresh(TimePoint now)
+{
+    m_evidence.removeExpired(now);
+    if (now >= m_decideAt)
+        decide(now);
+}
+
+void PromptGuard::decide(TimePoint now)
+{
+    m_decideAt = TimePoint::max();
+    struct Culprit
+    {
+        PromptPart m_part;
+        std::size_t m_outages = 0;
+        std::size_t m_needed = 0;
+    };
+    std::vector<Culprit> culprits;
+    std::size_t fewestNeeded = outagesOfGeneralPart;
+    for (const PromptPart &part : m_evidence.suspects()) {
+        const Incrimination incrimination = incriminationOf(part);
+        const std::size_t needed = outagesNeeded(part);
+        const bool hasCrashedMany =
+            needed <= outagesOfUncommonPart && incrimination.m_crashes >= crashesOfUncommonPart;
+        if (incrimination.m_outages < needed && !hasCrashedMany)
+            continue;
+        culprits.push_back({part, incrimination.m_outages, needed});
+        fewestNeeded = std::min(fewestNeeded, needed);
+    }
+    // A common part may be a suspect of all crashes by chance, and an uncommon one explains them.
+    for (const Culprit &culprit : culprits) {
+        if (culprit.m_needed > fewestNeeded)
+            continue;
+        m_probedUntil.erase(culprit.m_part);
+        m_events.emplace_back(
+            m_quarantines.impose(culprit.m_part, culprit.m_outages, m_localName, now));
+        m_hasNews = true;
+    }
+}
+
+bool PromptGuard::lift(const PromptPart &part, TimePoint now)
+{
+    const auto lifted = m_quarantines.lift(part, m_localName, now);
+    if (!lifted)
+        return false;
+    m_events.emplace_back(*lifted);
+    m_hasNews = true;
+    return true;
+}
+
+void PromptGuard::receive(const QuarantineMessage &message, TimePoint now)
+{
+    for (const CrashReport &crash : message.m_crashes) {
+        recordGone(crash.m_endpoint, now);
+        add(crash, now);
+    }
+    for (const auto &[part, soundAt] : message.m_soundParts) {
+        if (m_evidence.recordSound(part, soundAt))
+            m_hasNews = true;
+    }
+    for (const QuarantineEntry &entry : message.m_entries) {
+        if (!m_quarantines.merge(entry))
+            continue;
+        m_events.emplace_back(entry);
+        m_hasNews = true;
+    }
+}
+
+QuarantineMessage PromptGuard::newsToSend(TimePoint now)
+{
+    m_hasNews = false;
+    m_sendEntriesAt = now;
+    return messageToSend(now);
+}
+
+QuarantineMessage PromptGuard::messageToSend(TimePoint now)
+{
+    QuarantineMessage message;
+    message.m_crashes = m_evidence.crashesAfter(now - tellingTime);
+    message.m_crashes.resize(std::min(message.m_crashes.size(), maxCrashesToTell));
+    for (const CrashReport &crash : message.m_crashes) {
+        for (const std::string &id : crash.m_suspects) {
+            const PromptPart part{crash.m_service, id};
+            const auto soundAt = m_evidence.lastSoundAt(part);
+            if (soundAt && message.m_soundParts.size() < maxSoundPartsToTell)
+                message.m_soundParts.emplace_back(part, *soundAt);
+        }
+    }
+    if (now < m_sendEntriesAt)
+        return message;
+    m_sendEntriesAt = now + entriesInterval;
+    for (const auto &[part, entry] : m_quarantines.entries())
+        message.m_entries.push_back(entry);
+    // The latest change first; beyond the maximum, older ones are told by turns.
+    std::sort(message.m_entries.begin(), message.m_entries.end(),
+              [](const QuarantineEntry &left, const QuarantineEntry &right) {
+                  return left.m_changedAt > right.m_changedAt;
+              });
+    if (message.m_entries.size() > maxEntriesToTell) {
+        const std::size_t fixed = maxEntriesToTell / 2;
+        const std::size_t others = message.m_entries.size() - fixed;
+        std::rotate(message.m_entries.begin() + static_cast<std::ptrdiff_t>(fixed),
+                    message.m_entries.begin()
+                        + static_cast<std::ptrdiff_t>(fixed + m_nextEntry % others),
+                    message.m_entries.end());
+        m_nextEntry += maxEntriesToTell - fixed;
+        message.m_entries.resize(maxEntriesToTell);
+    }
+    return message;
+}
+
+std::vector<PromptGuardEvent> PromptGuard::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+} // namespace burdockhead
--- /dev/null
+++ b/src/burdockhead/quarantine/promptpart.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <burdockhead/base/name.h>
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhead {
+
+// A part of a prompt that requests of a service share, such as a document or a system prompt.
+struct PromptPart
+{
+    GroupName m_service;
+    std::string m_id; // As callers name it; a long identifier is replaced by its hash.
+
+    friend bool operator==(const PromptPart &, const PromptPart &) = default;
+    friend std::strong_ordering operator<=>(const PromptPart &, const PromptPart &) = default;
+};
+
+using PromptParts = std::vector<PromptPart>;
+
+// Returns the parts with these identifiers, without duplicates.
+PromptParts makePromptParts(const GroupName &service, const std::vector<std::string> &ids);
+
+} // namespace burdockhead
--- a/tests/internal/gateway/test_endpointtable.cpp
+++ b/tests/internal/gateway/test_endpointtable.cpp
@@ -254,4 +254,45 @@
     BOOST_TEST(toFailing < 25U);
 }
 
+// Requests with a suspect part, of which an endpoint may crash.
+BOOST_AUTO_TEST_CASE(isolated_requests_meet_neither_at_a_gateway_nor_between_gateways)
+{
+    constexpr std::size_t gateways = 4;
+    constexpr int endpoints = 10;
+    std::map<std::string, std::size_t> requestsPerEndpoint;
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        EndpointTable table = tableOf(endpoints, gateway + 1);
+        EndpointCriteria criteria;
+        criteria.m_service = service;
+        criteria.m_position = GatewayPosition{gateway, gateways};
+        criteria.m_isIsolated = true;
+        while (const auto endpoint = table.select(criteria, start)) {
+            ++endpoint->m_isolatedInFlight;
+            ++requestsPerEndpoint[endpoint->m_registration.m_name.text()];
+            BOOST_REQUIRE(requestsPerEndpoint.size() <= endpoints);
+        }
+    }
+    BOOST_TEST(requestsPerEndpoint.size() == static_cast<std::size_t>(endpoints));
+    for (const auto &[endpoint, requests] : requestsPerEndpoint)
+        BOOST_TEST(requests == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(with_more_gateways_than_endpoints_each_gateway_has_one_for_isolated_requests)
+{
+    constexpr std::size_t gateways = 7;
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        EndpointTable table = tableOf(3, gateway + 1);
+        EndpointCriteria criteria;
+        criteria.m_service = service;
+        criteria.m_position = GatewayPosition{gateway, gateways};
+        criteria.m_isIsolated = true;
+        const auto endpoint = table.select(criteria, start);
+        BOOST_REQUIRE(endpoint != nullptr);
+        ++endpoint->m_isolatedInFlight;
+        BOOST_TEST((table.select(criteria, start) == nullptr));
+        criteria.m_isIsolated = false;
+        BOOST_TEST((table.select(criteria, start) != nullptr));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/operators/test_explaincommand.cpp
+++ b/tests/public/operators/test_explaincommand.cpp
@@ -40,6 +40,28 @@
                != std::string::npos);
 }
 
+// Long after the crashes, and at a gateway that has only heard of them.
+BOOST_AUTO_TEST_CASE(a_request_with_a_quarantined_part_is_traced_to_the_crashes)
+{
+    const ScopedFile log(
+        "time=1000 process=g1 event=endpoint_crashed endpoint=e1 suspects=a,bad,c\n"
+        "time=1010 process=g2 event=endpoint_crashed endpoint=e1 suspects=badly\n"
+        "time=6000 process=g2 event=endpoint_crashed endpoint=e4 suspects=bad\n"
+        "time=6500 process=g2 event=part_quarantined part=bad decided_by=g2\n"
+        "time=6500 process=g2 event=part_quarantined part=other decided_by=g2\n"
+        "time=90000 process=g3 event=quarantine_refused request=r1 part=bad\n"
+        "time=90001 process=g3 event=ended request=r1 outcome=prompt_quarantined status=503"
+        " reason=bad endpoint=\"\"\n");
+    const CommandRun run = runProgram({"explain", "r1", log.name()});
+    BOOST_TEST(run.m_status == 0);
+    for (const char *line :
+         {"endpoint_crashed  endpoint=e1  suspects=a,bad,c", "endpoint_crashed  endpoint=e4",
+          "part_quarantined  part=bad", "crashed on a part of its prompt (bad)"})
+        BOOST_TEST(run.m_out.find(line) != std::string::npos);
+    BOOST_TEST(run.m_out.find("badly") == std::string::npos);
+    BOOST_TEST(run.m_out.find("other") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_without_log_records_is_reported)
 {
     const ScopedFile log(gatewayLog);
