Keep quarantines in the store, so that they outlast a stop of all gateways

Cause: quarantines lived in the gateways' memory alone. After a crash of all of them the next requests with the part would have crashed endpoints anew until it had been found a second time. Evidence: test_promptquarantine, a_quarantine_outlasts_a_crash_of_all_gateways. Cost: one more call to the store at a gateway's start, one for each change.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/gateway/gatewayprocess.h>
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
+#include <burdockhead/gateway/quarantinestore.h>
 #include <burdockhead/gateway/rankreports.h>
 #include <burdockhead/gateway/removalguard.h>
 #include <burdockhead/gateway/storefollower.h>
@@ -105,6 +106,7 @@
     StoreFollower m_configurationFollower;
     StoreFollower m_endpointFollower;
     StoreFollower m_dataCentreFollower;
+    QuarantineStore m_quarantineStore;
     HttpListener m_clientListener;
     HttpListener m_readinessListener;
     HttpListener m_directoryListener;
@@ -148,6 +150,8 @@
           {[this](const auto &changes, TimePoint) { applyDataCentreList(changes); },
            [this](const auto &changes, TimePoint) { return applyDataCentreChanges(changes); }},
           Random(systemSeed()))
+    , m_quarantineStore(m_loop, m_storeClient, protocols.m_store, settings.m_store, m_promptGuard,
+                        m_log, [this] { updateReadiness(); })
     , m_clientListener(m_loop, [this](const auto &exchange) { m_router.handle(exchange); })
     , m_readinessListener(m_loop, [this](const auto &exchange) { handleReadiness(*exchange); })
     , m_directoryListener(m_loop, [this](const auto &exchange) { handleAddresses(*exchange); })
@@ -187,6 +191,7 @@
     m_configurationFollower.start();
     m_endpointFollower.start();
     m_dataCentreFollower.start();
+    m_quarantineStore.refresh(false, Clock::now());
     m_loop.callAt(Clock::now() + maxStartTime, [this] { m_router.open(); });
     refresh();
     writeLines();
@@ -343,7 +348,8 @@
 void GatewayProcess::updateReadiness()
 {
     if (m_peers.local().m_state == PeerState::Starting && m_router.configuration()
-        && m_endpointFollower.isListed() && m_dataCentreFollower.isListed()) {
+        && m_endpointFollower.isListed() && m_dataCentreFollower.isListed()
+        && m_quarantineStore.isRead()) {
         m_peers.setState(PeerState::Ready);
         m_peerLink.broadcast();
         m_router.open();
@@ -525,6 +531,8 @@
         .set(static_cast<double>(m_promptGuard.quarantines().activeCount()));
     if (m_promptGuard.hasNews())
         m_peerLink.broadcastQuarantines();
+    if (m_configurationFollower.isListed() && !m_storeOutage.isActive())
+        m_quarantineStore.refresh(position.m_index == 0, now);
 }
 
 void GatewayProcess::logPromptGuardEvents()
--- a/src/burdockhead/gateway/storeoutage.h
+++ b/src/burdockhead/gateway/storeoutage.h
@@ -22,6 +22,8 @@
     // Ends the outage after a call succeeded, or because the follower has stopped.
     void clear() { m_probingFollower.reset(); }
 
+    bool isActive() const { return m_probingFollower.has_value(); }
+
     // Returns whether the follower may call the store.
     bool mayCall(StoreCollection follower) const
     {
--- a/src/burdockhead/gateway/storeprotocol.h
+++ b/src/burdockhead/gateway/storeprotocol.h
@@ -2,6 +2,7 @@
 
 #include <burdockhead/gateway/endpointregistration.h>
 #include <burdockhead/gateway/gatewayconfiguration.h>
+#include <burdockhead/quarantine/quarantinetable.h>
 
 #include <array>
 #include <cstddef>
@@ -51,6 +52,31 @@
     std::uint64_t m_revision = 0; // The store's revision when the page was made.
 };
 
+// A request to the store that isn't a GET.
+struct StoreWrite
+{
+    std::string m_method;
+    std::string m_target;
+    std::string m_body;
+
+    friend bool operator==(const StoreWrite &, const StoreWrite &) = default;
+};
+
+// One page of the quarantines in the store.
+struct QuarantinePage
+{
+    std::vector<QuarantineEntry> m_entries; // Those that can be read.
+    bool m_hasMore = false;
+    std::string m_lastName; // Of the last object on the page.
+};
+
+// A moment by the process's clock and by the time of day, in which the store keeps times.
+struct StoreTime
+{
+    TimePoint m_now;
+    std::int64_t m_millisecondsSince1970 = 0;
+};
+
 // Builds requests to the platform's store and parses its responses.
 class StoreProtocol
 {
@@ -71,6 +97,17 @@
     virtual std::optional<StorePage> parseChanges(StoreCollection collection,
                                                   const std::string &body) const = 0;
 
+    // Build the requests that list quarantines after that name, create one, replace one, and remove
+    // that of a part.
+    virtual std::string quarantinesTarget(const std::string &after) const = 0;
+    virtual StoreWrite createQuarantine(const QuarantineEntry &entry, StoreTime time) const = 0;
+    virtual StoreWrite replaceQuarantine(const QuarantineEntry &entry, StoreTime time) const = 0;
+    virtual StoreWrite removeQuarantine(const PromptPart &part) const = 0;
+
+    // Parses a list of quarantines; none if it is malformed.
+    virtual std::optional<QuarantinePage> parseQuarantines(const std::string &body,
+                                                           StoreTime time) const = 0;
+
     // Returns the status that reports that changes after the requested revision are no longer
     // stored.
     virtual int historyLostStatus() const = 0;
--- a/tests/platform/test_platformstoreprotocol.cpp
+++ b/tests/platform/test_platformstoreprotocol.cpp
@@ -143,4 +143,43 @@
                == "/-/objects/config?watch=530&waitMs=4000");
 }
 
+BOOST_AUTO_TEST_CASE(a_quarantine_is_read_back_by_another_clock)
+{
+    const StoreTime written = {TimePoint(Seconds(1000)), 1777694836900};
+    const StoreTime read = {TimePoint(Seconds(7)), 1777694839900}; // Three seconds later.
+    QuarantineEntry entry;
+    entry.m_part = {GroupName("llm"), "bad"};
+    entry.m_revision = 3;
+    entry.m_isActive = true;
+    entry.m_level = 2;
+    entry.m_outages = 4;
+    entry.m_decidedBy = ProcessName("g1");
+    entry.m_changedAt = written.m_now - Seconds(1);
+    entry.m_probeAt = written.m_now + Seconds(60);
+
+    const StoreWrite created = protocol.createQuarantine(entry, written);
+    BOOST_TEST(created.m_method == "POST");
+    BOOST_TEST(created.m_target == "/-/objects/quarantines");
+    const auto page =
+        protocol.parseQuarantines(R"({"items":[{"metadata":{"name":"x"},"spec":{"part":7}},)"
+                                      + created.m_body + R"(],"hasMore":true,"asOf":12})",
+                                  read);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->m_hasMore);
+    BOOST_REQUIRE(page->m_entries.size() == 1U);
+    QuarantineEntry expected = entry;
+    expected.m_changedAt = read.m_now - Seconds(4);
+    expected.m_probeAt = read.m_now + Seconds(57);
+    BOOST_TEST((page->m_entries.front() == expected));
+
+    const StoreWrite replaced = protocol.replaceQuarantine(entry, written);
+    BOOST_TEST(replaced.m_method == "PUT");
+    BOOST_TEST(replaced.m_target == "/-/objects/quarantines/" + page->m_lastName);
+    BOOST_TEST(replaced.m_body == created.m_body);
+    const StoreWrite removed = protocol.removeQuarantine(entry.m_part);
+    BOOST_TEST(removed.m_method == "DELETE");
+    BOOST_TEST(removed.m_target == replaced.m_target);
+    BOOST_TEST(!protocol.parseQuarantines("no JSON", read).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/gateway/test_promptquarantine.cpp
+++ b/tests/public/gateway/test_promptquarantine.cpp
@@ -104,4 +104,28 @@
     BOOST_TEST(m_fatal.back()->header("Retry-After") == "");
 }
 
+// All gateways stop after the part was put in quarantine, and nothing but the store remembers it.
+BOOST_AUTO_TEST_CASE(a_quarantine_outlasts_a_crash_of_all_gateways)
+{
+    start();
+    for (int count = 0; count < 200 && m_store.names("quarantines").empty(); ++count)
+        sendBoth();
+    BOOST_REQUIRE(m_store.names("quarantines").size() == 1U);
+    m_gateway->kill();
+    startGateway();
+    while (readiness() != 200)
+        waitFor(Milliseconds(10));
+    const std::size_t arrivals = fatalArrivals();
+    for (int count = 0; count < 20; ++count) {
+        const auto refused = callWithPrompt("/stream/x", "first:40,bad:100,r:10");
+        waitUntil([&] { return refused->hasEnded(); });
+        BOOST_TEST(refused->status() == 503);
+        BOOST_TEST(refused->body().starts_with("A part of the prompt"));
+    }
+    BOOST_TEST(fatalArrivals() == arrivals);
+    const auto sound = callWithPrompt("/stream/x", "first:40,topic:100,s:10");
+    waitUntil([&] { return sound->hasEnded(); });
+    BOOST_TEST(sound->status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -3,6 +3,8 @@
 #include "freeport.h"
 #include <burdockhead/http/httprequest.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -107,8 +109,13 @@
         exchange->answer(404, {}, "");
         return;
     }
-    const std::string kind = request.m_path.substr(std::string(pathPrefix).size());
+    const std::string path = request.m_path.substr(std::string(pathPrefix).size());
+    const std::string kind = path.substr(0, path.find('/'));
     ++m_callsByKind[kind];
+    if (exchange->head().m_method != "GET") {
+        write(*exchange, kind, path == kind ? "" : path.substr(kind.size() + 1));
+        return;
+    }
     if (kind == m_spoiled) {
         exchange->answer(200, {{"Content-Type", "application/json"}}, "no JSON");
         return;
@@ -120,6 +127,40 @@
         list(*exchange, kind);
 }
 
+// Creates, replaces or removes an object; revisions that calls may carry aren't checked.
+void StoreStandIn::write(HttpExchange &exchange, const std::string &kind, const std::string &name)
+{
+    const std::string &method = exchange.head().m_method;
+    const nlohmann::json body = nlohmann::json::parse(exchange.body(), nullptr, false);
+    const std::string target =
+        method == "POST" ? body.at("metadata").at("name").get<std::string>() : name;
+    const bool exists = m_objects[kind].contains(target);
+    if (method == "POST" && exists) {
+        exchange.answer(409, {}, objectJson(kind, target));
+        return;
+    }
+    if (method != "POST" && !exists) {
+        exchange.answer(404, {}, "");
+        return;
+    }
+    if (method == "DELETE")
+        remove(kind, target);
+    else
+        put(kind, target, body.at("spec").dump());
+    exchange.answer(200, {}, method == "DELETE" ? "" : objectJson(kind, target));
+}
+
+std::vector<std::string> StoreStandIn::names(const std::string &kind) const
+{
+    std::vector<std::string> names;
+    const auto objects = m_objects.find(kind);
+    if (objects != m_objects.end()) {
+        for (const auto &[name, spec] : objects->second)
+            names.push_back(name);
+    }
+    return names;
+}
+
 void StoreStandIn::list(HttpExchange &exchange, const std::string &kind) const
 {
     std::string items;
--- a/tests/standins/fleet/storestandin.h
+++ b/tests/standins/fleet/storestandin.h
@@ -43,6 +43,9 @@
 
     std::size_t calls() const { return m_calls; }
 
+    // Returns the names of the objects of a kind.
+    std::vector<std::string> names(const std::string &kind) const;
+
     // The same for one collection.
     std::size_t calls(const std::string &kind) const
     {
@@ -66,6 +69,7 @@
     };
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void write(HttpExchange &exchange, const std::string &kind, const std::string &name);
     void list(HttpExchange &exchange, const std::string &kind) const;
     void watch(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind,
                std::uint64_t after, Milliseconds wait);
