Add burdockhead quarantines and lift-quarantine for operators

An operator could see a quarantine in logs and a metric, but not ask a gateway for it nor end it before its trial. A gateway's metrics address lists what is refused or suspected and lifts a quarantine, which gossip and the store carry to the other gateways. Test: an_operator_sees_and_lifts_a_quarantine.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/gateway/gatewayprocess.h>
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
+#include <burdockhead/gateway/quarantineadmin.h>
 #include <burdockhead/gateway/quarantinestore.h>
 #include <burdockhead/gateway/rankreports.h>
 #include <burdockhead/gateway/removalguard.h>
@@ -562,8 +563,13 @@
     }
 }
 
+// Metrics, and the operators' requests about quarantines.
 void GatewayProcess::handleMetrics(HttpExchange &exchange)
 {
+    if (handleQuarantineRequest(m_promptGuard, exchange, Clock::now())) {
+        updateQuarantines();
+        return;
+    }
     m_metrics.gauge("burdockhead_gateway_open_requests")
         .set(static_cast<double>(m_router.openRequests()));
     m_metrics.gauge("burdockhead_gateway_lines_dropped")
--- a/src/burdockhead/operators/commandflags.cpp
+++ b/src/burdockhead/operators/commandflags.cpp
@@ -10,6 +10,7 @@
 ABSL_FLAG(std::string, settings, "", "Settings file of the process");
 ABSL_FLAG(std::string, entry, "", "Operator addresses of entries, HOST:PORT, tried in order");
 ABSL_FLAG(std::string, process, "", "Operator addresses of additional processes, HOST:PORT");
+ABSL_FLAG(std::string, gateway, "", "Metrics addresses of gateways, HOST:PORT, tried in order");
 ABSL_FLAG(std::string, base_version, "", "Fail unless this version is in force");
 ABSL_FLAG(bool, yes, false, "Apply without confirmation");
 ABSL_FLAG(bool, dry_run, false, "Show the difference and change nothing");
@@ -162,6 +163,8 @@
         error = std::string("flag --entry: allowed: ") + allowedAddressList;
     else if (!readValue(absl::GetFlag(FLAGS_process), options.m_processes))
         error = std::string("flag --process: allowed: ") + allowedAddressList;
+    else if (!readValue(absl::GetFlag(FLAGS_gateway), options.m_gateways))
+        error = std::string("flag --gateway: allowed: ") + allowedAddressList;
     else if (!baseVersion.empty() && !options.m_baseVersion)
         error = "flag --base_version: a whole number is expected";
     else if (!timeout)
--- a/src/burdockhead/operators/commandline.cpp
+++ b/src/burdockhead/operators/commandline.cpp
@@ -4,6 +4,7 @@
 #include <burdockhead/operators/exitcode.h>
 #include <burdockhead/operators/explaincommand.h>
 #include <burdockhead/operators/processcommands.h>
+#include <burdockhead/operators/quarantinecommands.h>
 #include <burdockhead/operators/summarycommand.h>
 #include <burdockhead/operators/timelinecommand.h>
 
@@ -32,7 +33,7 @@
     out << "Usage: burdockhead COMMAND [FLAGS] [ARGUMENTS]\n\nCommands:\n";
     for (const Command &command : commands) {
         std::string line = std::string("  ") + command.m_name;
-        line.resize(16, ' ');
+        line.resize(18, ' ');
         out << line << command.m_help << "\n";
     }
     out << "\nburdockhead COMMAND --help lists the flags of a command.\n"
@@ -155,6 +156,20 @@
          1,
          1,
          runBringBackCommand},
+        {"quarantines",
+         "",
+         "Prints the prompt parts that a gateway refuses or suspects, since endpoints crashed",
+         {"gateway", "timeout_ms"},
+         0,
+         0,
+         runQuarantinesCommand},
+        {"lift-quarantine",
+         "SERVICE PART",
+         "Lifts the quarantine of a prompt part at all gateways",
+         {"gateway", "timeout_ms"},
+         2,
+         2,
+         runLiftQuarantineCommand},
         {"explain",
          "REQUEST LOG-FILE...",
          "Traces one request through the logs of all processes",
--- a/src/burdockhead/operators/commandoptions.h
+++ b/src/burdockhead/operators/commandoptions.h
@@ -18,6 +18,7 @@
     std::string m_settingsFile;
     std::vector<SocketAddress> m_entries;   // Operator addresses of entries, tried in order.
     std::vector<SocketAddress> m_processes; // Operator addresses of additional processes.
+    std::vector<SocketAddress> m_gateways;  // Metrics addresses of gateways, tried in order.
     std::optional<std::uint64_t> m_baseVersion;
     bool m_yes = false;
     bool m_dryRun = false;
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -33,6 +33,7 @@
 GatewayFixture::GatewayFixture()
     : m_clients(freeLoopbackAddress())
     , m_peers(freeLoopbackAddress())
+    , m_metrics(freeLoopbackAddress())
     , m_folder(std::filesystem::temp_directory_path()
                / ("gateway-test-" + std::to_string(m_clients.m_port)))
     , m_readiness(freeLoopbackAddress())
@@ -79,7 +80,7 @@
                             << m_clients.toString() << "\nreadiness = " << m_readiness.toString()
                             << "\ndirectory = " << m_directory.toString()
                             << "\npeers = " << m_peers.toString()
-                            << "\nmetrics = " << freeLoopbackAddress().toString()
+                            << "\nmetrics = " << m_metrics.toString()
                             << "\n[store]\naddress = " << m_store.address().toString()
                             << "\n[bounds]\nretry_burst = 160\nstop_grace_s = 5\n";
     m_gateway = std::make_unique<ChildProcess>(
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -87,13 +87,14 @@
     std::unique_ptr<ChildProcess> m_gateway;
     SocketAddress m_clients;
     SocketAddress m_peers;
+    SocketAddress m_metrics;
+    std::filesystem::path m_folder; // For settings and logs; removed at the end.
 
 private:
     std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
                                      const HttpHeaders &furtherHeaders);
     std::unique_ptr<ClientCall> query(const SocketAddress &address, const std::string &target);
 
-    std::filesystem::path m_folder;
     SocketAddress m_readiness;
     SocketAddress m_directory;
     HttpClientPool m_pool{m_loop};
--- a/tests/public/gateway/test_promptquarantine.cpp
+++ b/tests/public/gateway/test_promptquarantine.cpp
@@ -2,6 +2,9 @@
 #include <burdockhead/http/httprequest.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 
 using namespace burdockhead;
 using namespace burdockhead::test;
@@ -128,4 +131,33 @@
     BOOST_TEST(sound->status() == 200);
 }
 
+BOOST_AUTO_TEST_CASE(an_operator_sees_and_lifts_a_quarantine)
+{
+    start();
+    for (int count = 0; count < 200 && m_store.names("quarantines").empty(); ++count)
+        sendBoth();
+    const auto program = [this](std::vector<std::string> arguments) {
+        const std::filesystem::path log = m_folder / "command.log";
+        std::filesystem::remove(log);
+        arguments.insert(arguments.begin(), std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead");
+        arguments.push_back("--gateway=" + m_metrics.toString());
+        ChildProcess process(arguments, log);
+        waitUntil([&] { return !process.running(); });
+        std::ostringstream text;
+        text << process.wait() << " " << std::ifstream(log).rdbuf();
+        return text.str();
+    };
+    const std::string listed = program({"quarantines"});
+    BOOST_TEST(listed.find("quarantined llm bad level=1") != std::string::npos, listed);
+    BOOST_TEST(program({"lift-quarantine", "llm", "other"}).starts_with("1 "));
+    BOOST_TEST(program({"lift-quarantine", "llm", "bad"}) == "0 lifted\n");
+    BOOST_TEST(program({"quarantines"}).find("quarantined") == std::string::npos);
+    waitUntil([this] { return m_store.names("quarantines").empty(); });
+    for (const auto &endpoint : m_llm)
+        endpoint->crashOnPart("", downTime, {});
+    const auto tried = callWithPrompt("/stream/x", "first:40,bad:100,t:10");
+    waitUntil([&] { return tried->hasEnded(); });
+    BOOST_TEST(tried->status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/operators/test_commandline.cpp
+++ b/tests/public/operators/test_commandline.cpp
@@ -29,6 +29,8 @@
     {{"show", "--timeout-ms=0"}, "burdockhead: show: flag --timeout_ms: 1 to 3600000 is expected"},
     {{"timeline", "--event=x"}, "burdockhead: timeline: flag --event: unknown type of event 'x'"},
     {{"entry"}, "burdockhead: flag --settings is missing"},
+    {{"quarantines"}, "burdockhead: flag --gateway is missing"},
+    {{"lift-quarantine", "llm"}, "burdockhead: lift-quarantine: missing SERVICE PART"},
 };
 
 } // namespace
@@ -50,8 +52,8 @@
 {
     const CommandRun help = runProgram({"--help"});
     BOOST_TEST(help.m_status == ExitOk);
-    for (const char *name :
-         {"entry", "agent", "check", "apply", "show", "take-out", "bring-back", "timeline"}) {
+    for (const char *name : {"entry", "agent", "check", "apply", "show", "take-out", "bring-back",
+                             "timeline", "quarantines", "lift-quarantine"}) {
         BOOST_TEST((help.m_out.find(std::string("\n  ") + name + " ") != std::string::npos));
         const CommandRun commandHelp = runProgram({name, "--help"});
         BOOST_TEST(commandHelp.m_status == ExitOk);
