Test answers with neither a length nor chunks on both paths

Shown not to need a change: through a gateway a plain answer is whole unless its connection is reset, and a stream unless it ends within an event, when it is resumed elsewhere or broken off (test_gatewayprocess); on the path through agents libcurl tells a reset from an end (test_unframedanswer) and an entry completes a stream by its last event only (test_responsewriter).

--- a/tests/internal/entry/test_responsewriter.cpp
+++ b/tests/internal/entry/test_responsewriter.cpp
@@ -96,6 +96,20 @@
     BOOST_TEST(responder->m_body == "abcde");
 }
 
+// Without a length the end of the connection looks like the end of the answer.
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_within_an_event_is_never_completed)
+{
+    const auto responder = std::make_shared<RecordingResponder>();
+    ResponseWriter writer(responder, true);
+    writer.beginAttempt();
+    writer.setHead({{}, 200, "text/event-stream", false, {}});
+    const std::string bytes = "data: a\n\ndata: b";
+    BOOST_TEST(writer.appendData(0, bytes));
+    BOOST_TEST(!writer.complete(bytes.size()));
+    BOOST_TEST(!responder->m_isFinished);
+    BOOST_TEST(responder->m_body == "data: a\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(an_error_after_the_stream_started_is_an_event_without_a_closing_event)
 {
     const auto responder = std::make_shared<RecordingResponder>();
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -255,6 +255,57 @@
     }
 }
 
+// Neither a length nor chunks tell where such an answer ends.
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_with_its_connection_is_whole_unless_it_was_reset)
+{
+    for (const UnsoundBytes kind : {UnsoundBytes::UnframedAnswer, UnsoundBytes::UnframedReset}) {
+        GatewayFixture fixture;
+        UnsoundEndpoint unframed(fixture.m_loop, kind);
+        fixture.start();
+        for (const auto &endpoint : fixture.m_app)
+            fixture.m_store.put("servers", endpoint->id(), endpoint->entry("draining"));
+        fixture.m_store.put("servers", "app-9", unframed.entry("app"));
+        fixture.waitFor(Milliseconds(1500));
+        const auto call = fixture.request("POST", "/unsafe/x");
+        BOOST_TEST(unframed.requests() == 1U);
+        const bool isWhole = kind == UnsoundBytes::UnframedAnswer;
+        BOOST_TEST(call->status() == (isWhole ? 200 : 502));
+        BOOST_TEST(call->isComplete());
+        if (isWhole)
+            BOOST_TEST(call->body() == "answer to " + call->requestId());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_with_its_connection_is_whole_unless_it_ends_within_an_event)
+{
+    for (const UnsoundBytes kind :
+         {UnsoundBytes::UnframedStream, UnsoundBytes::UnframedPartialEvent}) {
+        GatewayFixture fixture;
+        UnsoundEndpoint unframed(fixture.m_loop, kind);
+        fixture.start();
+        for (const auto &endpoint : fixture.m_llm)
+            fixture.m_store.put("servers", endpoint->id(), endpoint->entry("draining"));
+        fixture.m_store.put("servers", "llm-9", unframed.entry("llm"));
+        fixture.waitFor(Milliseconds(1500));
+        const auto once = fixture.request("POST", "/stream/once/x");
+        const bool isWhole = kind == UnsoundBytes::UnframedStream;
+        BOOST_TEST(once->isComplete() == isWhole);
+        BOOST_TEST(once->body()
+                   == EndpointStandIn::events(1, isWhole ? EndpointStandIn::lastEvent : 3));
+        if (isWhole)
+            continue;
+        // One that may be resumed goes on at another endpoint.
+        fixture.m_store.put("servers", "llm-1", fixture.m_llm[0]->entry());
+        fixture.waitFor(Milliseconds(1500));
+        for (int count = 0; count < 4; ++count) {
+            const auto resumed = fixture.request("POST", "/stream/x");
+            BOOST_TEST(resumed->isComplete());
+            BOOST_TEST(resumed->body() == EndpointStandIn::events(1, EndpointStandIn::lastEvent));
+        }
+        BOOST_TEST(unframed.requests() > 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_address_taken_over_by_another_endpoint_runs_nothing)
 {
     start();
--- a/tests/standins/fleet/unsoundendpoint.cpp
+++ b/tests/standins/fleet/unsoundendpoint.cpp
@@ -1,5 +1,6 @@
 #include "unsoundendpoint.h"
 
+#include "endpointstandin.h"
 #include "freeport.h"
 
 namespace burdockhead::test {
@@ -118,12 +119,39 @@
         connection.m_lastAnswer = answer;
         return;
     }
+    if (m_kind >= UnsoundBytes::UnframedAnswer) {
+        answerUnframed(connection, "HTTP/1.1 200 OK\r\n" + headers, id);
+        return;
+    }
     connection.m_stream->write(firstBytes(m_kind, headers));
     connection.m_isSending = true;
     if (m_timer == 0)
         sendMore();
 }
 
+void UnsoundEndpoint::answerUnframed(Connection &connection, const std::string &head,
+                                     const std::string &id)
+{
+    const std::string stream = head + "Content-Type: text/event-stream\r\n\r\n";
+    constexpr int half = EndpointStandIn::lastEvent / 2;
+    switch (m_kind) {
+    case UnsoundBytes::UnframedStream:
+        connection.m_stream->write(stream + EndpointStandIn::events(1, EndpointStandIn::lastEvent));
+        break;
+    case UnsoundBytes::UnframedPartialEvent:
+        connection.m_stream->write(stream + EndpointStandIn::events(1, half) + "id: 4\ndata: pa");
+        break;
+    default:
+        connection.m_stream->write(head + "\r\nanswer to " + id);
+        break;
+    }
+    if (m_kind != UnsoundBytes::UnframedReset) {
+        connection.m_stream->finishWriting();
+        return;
+    }
+    m_loop.callAt(Clock::now() + sendInterval, [&connection] { connection.m_stream->abort(); });
+}
+
 void UnsoundEndpoint::sendMore()
 {
     const std::string bytes = furtherBytes(m_kind);
--- a/tests/standins/fleet/unsoundendpoint.h
+++ b/tests/standins/fleet/unsoundendpoint.h
@@ -19,6 +19,11 @@
     EndlessChunks,  // Chunks without end.
     EndlessChunkExtension,
     EndlessEvent, // An event stream without an event boundary.
+    // Answers with neither a length nor chunks, which end with their connection.
+    UnframedAnswer,
+    UnframedReset,        // The connection is reset after a part of the answer.
+    UnframedStream,       // Events 1 to 6 of EndpointStandIn.
+    UnframedPartialEvent, // Events 1 to 3 and a part of the next.
 };
 
 // An endpoint of the service "app", or of "llm" for events, that speaks bytes instead of HTTP. What
@@ -50,6 +55,7 @@
 
     void accept();
     void answer(Connection &connection, std::string_view request);
+    void answerUnframed(Connection &connection, const std::string &head, const std::string &id);
     void sendMore();
 
     EventLoop &m_loop;
