Let the soak play a prompt part that crashes endpoints

Three gateways as processes, killed, stopped and paused meanwhile, were the case that the replays under virtual time leave out. In every third seed the endpoints of streams crash on a part; the soak checks the users' limit of three requests after the fifth crash and three seconds.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,8 @@
 // The last part of it, and what has to be served there.
 constexpr Milliseconds judged{2000};
 constexpr double leastServed = 0.9;
+// In one of this many seeds endpoints crash on a part of a prompt.
+constexpr std::uint64_t fatalSeedDivisor = 3;
 
 std::optional<std::uint64_t> flag(int count, char **arguments, const std::string &name)
 {
@@ -42,6 +44,8 @@
     std::vector<std::string> violations;
     {
         SoakWorld world(seed, gateways, folder);
+        if (seed % fatalSeedDivisor == 0)
+            world.sendFatalPart();
         world.run(faults, span);
         violations = world.book().violations();
         const double served =
@@ -51,8 +55,8 @@
                                  + " of the requests were served");
         std::cout << "seed " << seed << ": " << faults.size() << " faults, "
                   << world.book().requests() << " requests, " << world.book().served()
-                  << " served, at the end " << served << ", " << violations.size()
-                  << " promises broken\n";
+                  << " served, " << world.book().fatalCrashes() << " crashes on a part, at the end "
+                  << served << ", " << violations.size() << " promises broken\n";
     }
     if (violations.empty()) {
         std::filesystem::remove_all(folder);
--- a/tests/soak/requestbook.cpp
+++ b/tests/soak/requestbook.cpp
@@ -30,11 +30,34 @@
     const auto value = [&](const char *name) {
         return findHeader(request.m_head.m_headers, name).value_or("");
     };
-    m_runs[value("X-Request-Id")].push_back(endpoint);
+    const std::string id = value("X-Request-Id");
+    m_runs[id].push_back(endpoint);
+    if (m_fatalRequests.contains(id))
+        m_ranAt[id] = Clock::now();
     if (!value("Authorization").empty() || value("X-Tenant") != "w")
         m_leaks.push_back(value("X-Request-Id"));
 }
 
+void RequestBook::noteFatalRequest(const std::string &id, TimePoint gatewayDisturbedAt)
+{
+    m_fatalRequests[id] = gatewayDisturbedAt;
+}
+
+// Requests with the fatal part that undisturbed gateways let through although they could know it.
+std::size_t RequestBook::lateFatalArrivals() const
+{
+    constexpr std::size_t countedCrashes = 5;
+    constexpr Milliseconds learningTime{3000};
+    if (m_fatalCrashes.size() < countedCrashes)
+        return 0;
+    const TimePoint knownAt = m_fatalCrashes[countedCrashes - 1] + learningTime;
+    return static_cast<std::size_t>(
+        std::count_if(m_ranAt.begin(), m_ranAt.end(), [&](const auto &item) {
+            return item.second > knownAt
+                   && item.second > m_fatalRequests.at(item.first) + learningTime;
+        }));
+}
+
 void RequestBook::noteRevoked(const std::string &credential, TimePoint inForceBy,
                               TimePoint calmUntil)
 {
@@ -70,6 +93,10 @@
     std::vector<std::string> found;
     for (const ClientOutcome &outcome : m_outcomes)
         check(outcome, found);
+    constexpr std::size_t permittedFatalArrivals = 3;
+    if (lateFatalArrivals() > permittedFatalArrivals)
+        found.push_back("requests with a part that crashes endpoints still reached them: "
+                        + std::to_string(lateFatalArrivals()));
     for (const std::string &id : m_leaks)
         found.push_back("credential or workspace of the client reached an endpoint: " + id);
     return found;
--- a/tests/soak/requestbook.h
+++ b/tests/soak/requestbook.h
@@ -14,6 +14,7 @@
     std::string m_id;
     std::string m_path;
     std::string m_credential;
+    std::string m_promptParts; // As "ID:TOKENS", separated by commas; the last is its own.
     TimePoint m_sentAt;
     int m_status = 0; // 0: no answer.
     bool m_isWhole = false;
@@ -34,6 +35,12 @@
     // given nothing disturbed the store or the gateways.
     void noteRevoked(const std::string &credential, TimePoint inForceBy, TimePoint calmUntil);
 
+    // An endpoint crashed on a request with the fatal part.
+    void noteFatalCrash(TimePoint at) { m_fatalCrashes.push_back(at); }
+
+    // A request with the fatal part is sent to a gateway that was last disturbed at that time.
+    void noteFatalRequest(const std::string &id, TimePoint gatewayDisturbedAt);
+
     // The promises that were broken, one line each; empty when all hold.
     std::vector<std::string> violations() const;
 
@@ -42,6 +49,7 @@
 
     std::size_t requests() const { return m_outcomes.size(); }
     std::size_t served() const;
+    std::size_t fatalCrashes() const { return m_fatalCrashes.size(); }
 
 private:
     struct Revocation
@@ -52,10 +60,14 @@
     };
 
     void check(const ClientOutcome &outcome, std::vector<std::string> &found) const;
+    std::size_t lateFatalArrivals() const;
 
     std::vector<ClientOutcome> m_outcomes;
     std::map<std::string, std::vector<std::string>> m_runs; // Endpoints, by request.
     std::vector<std::string> m_leaks;
+    std::vector<TimePoint> m_fatalCrashes;
+    std::map<std::string, TimePoint> m_fatalRequests; // When their gateways were last disturbed.
+    std::map<std::string, TimePoint> m_ranAt;         // Of requests with the fatal part.
     std::vector<Revocation> m_revocations;
 };
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -16,6 +16,11 @@
 constexpr Milliseconds betweenCalls{20};
 constexpr Milliseconds patience{3000};
 constexpr Milliseconds housekeeping{50};
+// The part of prompts on which endpoints crash, the part of the streams that has it (1/n), and the
+// time until an endpoint runs again.
+constexpr const char *fatalPart = "fatal";
+constexpr unsigned fatalDivisor = 5;
+constexpr Milliseconds downTime{400};
 constexpr std::array<const char *, 4> paths = {"/stream/x", "/stream/once/x", "/safe/x",
                                                "/unsafe/x"};
 constexpr std::array<Misbehaviour, 7> misbehaviours = {
@@ -59,6 +64,7 @@
                                      {"X-Deadline-Ms", std::to_string(patience.count())},
                                      {"X-Tenant", "forged"},
                                      {"Authorization", "Token " + m_outcome.m_credential},
+                                     {"X-Prompt-Prefix", m_outcome.m_promptParts},
                                      {"Content-Length", "0"}};
         const char *method = m_outcome.m_path.starts_with("/safe/") ? "GET" : "POST";
         m_call = pool.call(gateway, requestHead(method, m_outcome.m_path, headers),
@@ -155,6 +161,7 @@
                                  "--settings=" + gateway.m_settings},
         gateway.m_log);
     gateway.m_isDown = false;
+    gateway.m_disturbedAt = Clock::now();
 }
 
 // The entry names the proxy's address, and the registered id stays when the endpoint behind the
@@ -176,6 +183,7 @@
 {
     if (gateway.m_isDown || gateway.m_isPaused || !gateway.m_process->running())
         return;
+    gateway.m_disturbedAt = Clock::now();
     switch (fault.m_type) {
     case FaultType::KillGateway:
         gateway.m_process->kill();
@@ -269,6 +277,7 @@
     case FaultType::PauseGateway:
         gateway.m_process->signal(SIGCONT);
         gateway.m_isPaused = false;
+        gateway.m_disturbedAt = Clock::now();
         break;
     case FaultType::SilenceStore:
         m_store.setSilent(false);
@@ -306,6 +315,21 @@
     }
 }
 
+void SoakWorld::sendFatalPart()
+{
+    m_sendsFatalPart = true;
+    for (Endpoint &endpoint : m_endpoints) {
+        if (!endpoint.m_id.starts_with("llm"))
+            continue;
+        endpoint.m_standIn->crashOnPart(fatalPart, downTime, [this, &endpoint](const auto &) {
+            m_book.noteFatalCrash(Clock::now() - downTime);
+            m_store.remove("servers", endpoint.m_id);
+            endpoint.m_id = endpoint.m_standIn->id();
+            registerEndpoint(endpoint, "ready");
+        });
+    }
+}
+
 void SoakWorld::call()
 {
     if (!m_isCalling)
@@ -316,6 +340,12 @@
     outcome.m_path = paths[m_random() % paths.size()];
     outcome.m_credential = m_random() % 10 == 0 ? m_oldCredential : m_credential;
     outcome.m_sentAt = Clock::now();
+    const bool isFatal =
+        m_sendsFatalPart && outcome.m_path == "/stream/x" && m_random() % fatalDivisor == 0;
+    outcome.m_promptParts = std::string("first:40,") + (isFatal ? fatalPart : "topic")
+                            + std::string(":100,") + outcome.m_id + ":10";
+    if (isFatal)
+        m_book.noteFatalRequest(outcome.m_id, gateway.m_disturbedAt);
     m_calls.push_back(
         std::make_unique<SoakCall>(m_loop, m_pool, gateway.m_clients, std::move(outcome),
                                    [this](SoakCall &ended) { m_book.note(ended.outcome()); }));
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -26,6 +26,9 @@
     SoakWorld(const SoakWorld &) = delete;
     SoakWorld &operator=(const SoakWorld &) = delete;
 
+    // Lets endpoints of streams crash on a part of a prompt, which some requests have from then on.
+    void sendFatalPart();
+
     // Runs the faults while clients call; returns when the span is over and all calls ended.
     void run(const std::vector<Fault> &faults, Milliseconds span);
 
@@ -45,6 +48,7 @@
         std::unique_ptr<ChildProcess> m_process;
         bool m_isDown = false; // Killed, and not to be started again yet.
         bool m_isPaused = false;
+        TimePoint m_disturbedAt; // When it was last started, signalled or woken.
     };
 
     struct Endpoint
@@ -86,6 +90,7 @@
     TimePoint m_lastFaultAt;
     std::size_t m_lastRequest = 0;
     bool m_isCalling = true;
+    bool m_sendsFatalPart = false;
 };
 
 } // namespace burdockhead::test
