Keep what was in force when the store comes back from an older copy

Cause of what could go wrong: gateways compared revisions of two eras, took the copy's list for what had changed since, and a gateway that started then knew the copy only. Change: revisions carry the era (StoreRevision, CollectionView); versions only rise, and the same version with other content is taken from the newer era (ConfigurationInForce); data centres that were out, endpoints that the copy lacks and such that had left are told apart (DataCentresOut, DepartedEndpoints); a gateway that starts, or notices a restore, asks others for what was lost (StoreKnowledge); the writer of quarantines writes them again. The part of GatewayProcess that applies the store's changes is a class, StoreUpdates.

--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -61,13 +61,10 @@
     }
 }
 
-bool CallRouter::applyConfiguration(const GatewayConfigurationPointer &configuration)
+void CallRouter::setConfiguration(const GatewayConfigurationPointer &configuration)
 {
-    if (m_configuration && configuration->version() <= m_configuration->version())
-        return false;
     m_configuration = configuration;
     refresh();
-    return true;
 }
 
 ServiceLimiter &CallRouter::limiter(const GroupName &service)
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -54,8 +54,7 @@
     // Answers the clients that wait for a process to start after a crash.
     void open();
 
-    // Applies a configuration; false if it isn't newer than the current one.
-    bool applyConfiguration(const GatewayConfigurationPointer &configuration);
+    void setConfiguration(const GatewayConfigurationPointer &configuration);
     const GatewayConfigurationPointer &configuration() const { return m_configuration; }
 
     // Refuses all further requests.
--- a/src/burdockhead/gateway/endpointtable.cpp
+++ b/src/burdockhead/gateway/endpointtable.cpp
@@ -117,7 +117,7 @@
 bool EndpointTable::isUsable(const KnownEndpoint &endpoint, TimePoint now) const
 {
     return !endpoint.m_registration.m_isLeaving && !endpoint.m_isReplaced
-           && now < endpoint.m_usableUntil
+           && now >= endpoint.m_usableFrom && now < endpoint.m_usableUntil
            && !m_dataCentresOut.contains(endpoint.m_registration.m_dataCentre);
 }
 
--- a/src/burdockhead/gateway/endpointtable.h
+++ b/src/burdockhead/gateway/endpointtable.h
@@ -27,7 +27,8 @@
     // Requests are sent to it before this time. Set when the registration is removed, reset when
     // the endpoint is registered again.
     TimePoint m_usableUntil = TimePoint::max();
-    bool m_isReplaced = false; // A newer endpoint has started at its address.
+    TimePoint m_usableFrom = TimePoint::min(); // Held back until then.
+    bool m_isReplaced = false;                 // A newer endpoint has started at its address.
 };
 
 using KnownEndpointPointer = std::shared_ptr<KnownEndpoint>;
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -3,10 +3,8 @@
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/gateway/peerlink.h>
 #include <burdockhead/gateway/quarantineadmin.h>
-#include <burdockhead/gateway/quarantinestore.h>
 #include <burdockhead/gateway/rankreports.h>
-#include <burdockhead/gateway/removalguard.h>
-#include <burdockhead/gateway/storefollower.h>
+#include <burdockhead/gateway/storeupdates.h>
 #include <burdockhead/observe/log.h>
 #include <burdockhead/process/processstart.h>
 
@@ -57,19 +55,9 @@
     void run() { m_loop.run(); }
 
 private:
-    StoreFollowerDependencies followerParts();
     PeerRecord initialRecord() const;
-    bool applyConfigurationChanges(const std::vector<StoreChange> &changes);
-    bool applyEndpointChanges(const std::vector<StoreChange> &changes, TimePoint madeAfter,
-                              const char *source);
-    void applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter);
-    void removeEndpoint(const StoreChange &change, TimePoint madeAfter, const char *source);
-    bool applyDataCentreChanges(const std::vector<StoreChange> &changes);
-    void applyDataCentreList(const std::vector<StoreChange> &changes);
-    void setDataCentreOut(const std::string &name, bool isOut);
     void updateReadiness();
     void refresh();
-    void exchangeRevisions();
     void writeLines();
     void reload();
     void scheduleSettingsCheck();
@@ -79,13 +67,11 @@
     void handleReadiness(HttpExchange &exchange);
     void handleAddresses(HttpExchange &exchange);
     void handleMetrics(HttpExchange &exchange);
-    void handleCoordinator(const std::shared_ptr<HttpExchange> &exchange);
+    void handleControl(const std::shared_ptr<HttpExchange> &exchange);
     void handleRankReport(HttpExchange &exchange);
     void updateLoads();
     void updateQuarantines();
     void logPromptGuardEvents();
-    void reportRestarts(const EndpointRegistration &registration,
-                        const KnownEndpointPointer &previous);
 
     GatewaySettings m_settings;
     const GatewayProtocols m_protocols;
@@ -96,18 +82,13 @@
     HttpClientPool m_endpointClient;
     HttpClientPool m_storeClient;
     EndpointTable m_endpoints;
-    RemovalGuard m_removalGuard;
     PeerTable m_peers;
     LoadTable m_loads;
     PromptGuard m_promptGuard;
     RankReports m_rankReports;
     PeerLink m_peerLink;
     CallRouter m_router;
-    StoreOutage m_storeOutage;
-    StoreFollower m_configurationFollower;
-    StoreFollower m_endpointFollower;
-    StoreFollower m_dataCentreFollower;
-    QuarantineStore m_quarantineStore;
+    StoreUpdates m_storeUpdates;
     HttpListener m_clientListener;
     HttpListener m_readinessListener;
     HttpListener m_directoryListener;
@@ -133,40 +114,25 @@
     , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_loads,
                 m_promptGuard, m_log, m_metrics, m_settings.m_bounds},
                Random(systemSeed()))
-    , m_configurationFollower(
-          followerParts(), StoreCollection::Configuration,
-          {[this](const auto &changes, TimePoint) { applyConfigurationChanges(changes); },
-           [this](const auto &changes, TimePoint) { return applyConfigurationChanges(changes); }},
-          Random(systemSeed()))
-    , m_endpointFollower(followerParts(), StoreCollection::Endpoints,
-                         {[this](const auto &changes, TimePoint madeAfter) {
-                              applyEndpointList(changes, madeAfter);
-                          },
-                          [this](const auto &changes, TimePoint madeAfter) {
-                              return applyEndpointChanges(changes, madeAfter, "watch");
-                          }},
-                         Random(systemSeed()))
-    , m_dataCentreFollower(
-          followerParts(), StoreCollection::DataCentresOut,
-          {[this](const auto &changes, TimePoint) { applyDataCentreList(changes); },
-           [this](const auto &changes, TimePoint) { return applyDataCentreChanges(changes); }},
-          Random(systemSeed()))
-    , m_quarantineStore(m_loop, m_storeClient, protocols.m_store, settings.m_store, m_promptGuard,
-                        m_log, [this] { updateReadiness(); })
+    , m_storeUpdates(
+          {m_loop, m_storeClient, protocols.m_store, m_settings.m_store, m_endpoints, m_peers,
+           m_promptGuard, m_log, m_metrics, m_settings.m_bounds, m_settings.m_seeds},
+          [this](const auto &configuration) {
+              m_router.setConfiguration(configuration);
+              m_clientListener.setLimits(configuration->limits());
+          },
+          [this] {
+              updateReadiness();
+              m_router.refresh();
+          })
     , m_clientListener(m_loop, [this](const auto &exchange) { m_router.handle(exchange); })
     , m_readinessListener(m_loop, [this](const auto &exchange) { handleReadiness(*exchange); })
     , m_directoryListener(m_loop, [this](const auto &exchange) { handleAddresses(*exchange); })
     , m_metricsListener(m_loop, [this](const auto &exchange) { handleMetrics(*exchange); })
     , m_orderRelay(m_loop, m_endpointClient, m_endpoints, m_log)
-    , m_orderListener(m_loop, [this](const auto &exchange) { handleCoordinator(exchange); })
+    , m_orderListener(m_loop, [this](const auto &exchange) { handleControl(exchange); })
 {}
 
-StoreFollowerDependencies GatewayProcess::followerParts()
-{
-    return {m_loop, m_storeClient, m_protocols.m_store, m_settings.m_store,
-            m_log,  m_metrics,     m_storeOutage};
-}
-
 PeerRecord GatewayProcess::initialRecord() const
 {
     PeerRecord record;
@@ -189,10 +155,7 @@
         || !m_orderListener.start(m_settings.m_peers, error)
         || !m_peerLink.start(m_settings.m_peers, error))
         return false;
-    m_configurationFollower.start();
-    m_endpointFollower.start();
-    m_dataCentreFollower.start();
-    m_quarantineStore.refresh(false, Clock::now());
+    m_storeUpdates.start();
     m_loop.callAt(Clock::now() + maxStartTime, [this] { m_router.open(); });
     refresh();
     writeLines();
@@ -202,155 +165,9 @@
     return true;
 }
 
-bool GatewayProcess::applyConfigurationChanges(const std::vector<StoreChange> &changes)
-{
-    for (const StoreChange &change : changes) {
-        if (const auto *invalid = std::get_if<UnusableObject>(&change.m_value)) {
-            m_log.add("configuration_unusable",
-                      {{"name", change.m_name}, {"reason", invalid->m_reason}});
-            continue;
-        }
-        const auto *configuration = std::get_if<GatewayConfigurationPointer>(&change.m_value);
-        if (change.m_isRemoved || configuration == nullptr)
-            continue;
-        const bool isApplied = m_router.applyConfiguration(*configuration);
-        if (isApplied)
-            m_clientListener.setLimits((*configuration)->limits());
-        m_log.add(isApplied ? "configuration_applied" : "configuration_ignored",
-                  {{"version", std::to_string((*configuration)->version())},
-                   {"in_force", std::to_string(m_router.configuration()->version())},
-                   {"routes", std::to_string((*configuration)->routes().size())}});
-    }
-    updateReadiness();
-    return true;
-}
-
-void GatewayProcess::removeEndpoint(const StoreChange &change, TimePoint madeAfter,
-                                    const char *source)
-{
-    const EndpointName name(change.m_name);
-    const auto endpoint = m_endpoints.find(name);
-    if (!endpoint || endpoint->m_usableUntil != TimePoint::max())
-        return;
-    const TimePoint now = Clock::now();
-    m_promptGuard.recordGone({name, endpoint->m_registration.m_startedAt}, now);
-    m_endpoints.remove(name, now);
-    const std::size_t remaining = m_endpoints.registeredCount(endpoint->m_registration.m_service);
-    // One that is leaving or replaced has got no requests for some time.
-    if (!endpoint->m_registration.m_isLeaving && !endpoint->m_isReplaced)
-        endpoint->m_usableUntil =
-            m_removalGuard.usableUntil({endpoint->m_registration.m_service, remaining, madeAfter},
-                                       m_settings.m_bounds.m_leaveTime, now);
-    const auto maxAge = std::chrono::duration_cast<Milliseconds>(now - madeAfter);
-    const auto usableTime = millisecondsUntil(endpoint->m_usableUntil, now);
-    m_log.add("endpoint_gone", {{"endpoint", change.m_name},
-                                {"source", source},
-                                {"revision", std::to_string(change.m_revision)},
-                                {"max_age_ms", std::to_string(maxAge.count())},
-                                {"remaining", std::to_string(remaining)},
-                                {"usable_ms", std::to_string(usableTime)}});
-}
-
-// The source is the kind of call that returned the changes, which were made after that time.
-bool GatewayProcess::applyEndpointChanges(const std::vector<StoreChange> &changes,
-                                          TimePoint madeAfter, const char *source)
-{
-    const TimePoint now = Clock::now();
-    bool hasNewChanges = false;
-    for (const StoreChange &change : changes) {
-        if (const auto *invalid = std::get_if<UnusableObject>(&change.m_value)) {
-            m_log.add("endpoint_unusable",
-                      {{"name", change.m_name}, {"reason", invalid->m_reason}});
-            m_endpoints.remove(EndpointName(change.m_name), now);
-            continue;
-        }
-        const auto *registration = std::get_if<EndpointRegistration>(&change.m_value);
-        if (change.m_isRemoved || registration == nullptr) {
-            removeEndpoint(change, madeAfter, source);
-            hasNewChanges = true;
-            continue;
-        }
-        const auto previous = m_endpoints.find(registration->m_name);
-        hasNewChanges |= !previous || previous->m_registration != *registration;
-        const bool wasLeaving = previous && previous->m_registration.m_isLeaving;
-        const bool isNew = m_endpoints.update(*registration);
-        if (isNew)
-            reportRestarts(*registration, previous);
-        if (isNew || wasLeaving != registration->m_isLeaving)
-            m_log.add(isNew ? "endpoint_new" : "endpoint_changed",
-                      {{"endpoint", change.m_name},
-                       {"service", registration->m_service.text()},
-                       {"address", registration->m_address.toString()},
-                       {"leaving", registration->m_isLeaving ? "yes" : "no"}});
-    }
-    updateReadiness();
-    m_router.refresh();
-    return hasNewChanges;
-}
-
-// An endpoint that has started ends the one that had its name or its address.
-void GatewayProcess::reportRestarts(const EndpointRegistration &registration,
-                                    const KnownEndpointPointer &previous)
-{
-    const TimePoint now = Clock::now();
-    if (previous)
-        m_promptGuard.recordGone(
-            {previous->m_registration.m_name, previous->m_registration.m_startedAt}, now);
-    for (const auto &[name, other] : m_endpoints.endpoints()) {
-        if (other->m_isReplaced && other->m_registration.m_address == registration.m_address)
-            m_promptGuard.recordGone({name, other->m_registration.m_startedAt}, now);
-    }
-}
-
-// Applies a full list; endpoints that it doesn't contain are removed.
-void GatewayProcess::applyEndpointList(const std::vector<StoreChange> &changes, TimePoint madeAfter)
-{
-    std::vector<StoreChange> allChanges = changes;
-    for (const auto &item : m_endpoints.endpoints()) {
-        const std::string &name = item.first.text();
-        const bool isListed =
-            std::any_of(changes.begin(), changes.end(),
-                        [&](const StoreChange &change) { return change.m_name == name; });
-        if (!isListed)
-            allChanges.push_back({name, true, 0, {}});
-    }
-    applyEndpointChanges(allChanges, madeAfter, "list");
-}
-
-void GatewayProcess::setDataCentreOut(const std::string &name, bool isOut)
-{
-    if (m_endpoints.isDataCentreOut(DataCentreName(name)) == isOut)
-        return;
-    m_endpoints.setDataCentreOut(DataCentreName(name), isOut);
-    m_log.add(isOut ? "data_centre_out" : "data_centre_back", {{"data_centre", name}});
-}
-
-bool GatewayProcess::applyDataCentreChanges(const std::vector<StoreChange> &changes)
-{
-    for (const StoreChange &change : changes)
-        setDataCentreOut(change.m_name, !change.m_isRemoved);
-    m_router.refresh();
-    return true;
-}
-
-void GatewayProcess::applyDataCentreList(const std::vector<StoreChange> &changes)
-{
-    for (const DataCentreName &name : m_endpoints.dataCentresOut()) {
-        const bool isListed =
-            std::any_of(changes.begin(), changes.end(),
-                        [&](const StoreChange &change) { return change.m_name == name.text(); });
-        if (!isListed)
-            setDataCentreOut(name.text(), false);
-    }
-    applyDataCentreChanges(changes);
-    updateReadiness();
-}
-
 void GatewayProcess::updateReadiness()
 {
-    if (m_peers.local().m_state == PeerState::Starting && m_router.configuration()
-        && m_endpointFollower.isListed() && m_dataCentreFollower.isListed()
-        && m_quarantineStore.isRead()) {
+    if (m_peers.local().m_state == PeerState::Starting && m_storeUpdates.isComplete()) {
         m_peers.setState(PeerState::Ready);
         m_peerLink.broadcast();
         m_router.open();
@@ -358,28 +175,9 @@
     }
 }
 
-// Publishes the applied store revisions to the other gateways, and restarts watches that have
-// missed revisions which others have applied.
-void GatewayProcess::exchangeRevisions()
-{
-    const TimePoint now = Clock::now();
-    const std::array<StoreFollower *, storeCollectionCount> followers = {
-        &m_configurationFollower, &m_endpointFollower, &m_dataCentreFollower};
-    StoreRevisions localRevisions = {};
-    for (std::size_t index = 0; index < storeCollectionCount; ++index)
-        localRevisions[index] = followers[index]->newestRevision();
-    m_peers.setNewestRevisions(localRevisions);
-    const StoreRevisions newestRevisions = m_peers.newestRevisions(now);
-    const std::size_t gatewayCount = m_peers.livePeers(now).size() + 1;
-    for (std::size_t index = 0; index < storeCollectionCount; ++index) {
-        followers[index]->setGatewayCount(gatewayCount);
-        followers[index]->onRevisionKnownElsewhere(newestRevisions[index]);
-    }
-}
-
 void GatewayProcess::refresh()
 {
-    exchangeRevisions();
+    m_storeUpdates.refresh(Clock::now());
     m_endpoints.removeExpired(Clock::now());
     m_router.refresh();
     updateLoads();
@@ -484,11 +282,14 @@
     exchange.answer(response.m_status, response.m_headers, response.m_body);
 }
 
-// Requests of groups' coordinators: orders to be relayed to a rank, and reports on ranks.
-void GatewayProcess::handleCoordinator(const std::shared_ptr<HttpExchange> &exchange)
+// Requests of groups' coordinators, which are orders to be relayed to a rank and reports on ranks,
+// and of other gateways.
+void GatewayProcess::handleControl(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (exchange->head().m_target == rankReportTarget)
         handleRankReport(*exchange);
+    else if (const auto state = m_storeUpdates.peerResponse(exchange->head()))
+        exchange->answer(statusOk, {}, *state);
     else
         m_orderRelay.handle(exchange);
 }
@@ -532,8 +333,6 @@
         .set(static_cast<double>(m_promptGuard.quarantines().activeCount()));
     if (m_promptGuard.hasNews())
         m_peerLink.broadcastQuarantines();
-    if (m_configurationFollower.isListed() && !m_storeOutage.isActive())
-        m_quarantineStore.refresh(position.m_index == 0, now);
 }
 
 void GatewayProcess::logPromptGuardEvents()
--- a/src/burdockhead/gateway/quarantinestore.cpp
+++ b/src/burdockhead/gateway/quarantinestore.cpp
@@ -55,6 +55,12 @@
     }
 }
 
+void QuarantineStore::onRestored()
+{
+    m_storedRevisions.clear();
+    m_existing.clear();
+}
+
 void QuarantineStore::readPage(TimePoint now)
 {
     m_call = std::make_unique<ShortCall>(
--- a/src/burdockhead/gateway/quarantinestore.h
+++ b/src/burdockhead/gateway/quarantinestore.h
@@ -28,6 +28,9 @@
     // the store is available. Only a writer writes. Calls `onRead` once isRead() has become true.
     void refresh(bool isWriter, TimePoint now);
 
+    // Records that the store has come back from an older copy, so that all is written again.
+    void onRestored();
+
     // Returns whether the quarantines have been read, or can't be.
     bool isRead() const { return m_isRead; }
 
--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -65,8 +65,7 @@
 {
     stop();
     m_isReadOnce = true;
-    m_isWatching = false;
-    m_lastListedName.clear();
+    m_view.startOver();
     sendWhenAllowed();
 }
 
@@ -80,10 +79,10 @@
 
 void StoreFollower::onRevisionKnownElsewhere(std::uint64_t revision)
 {
-    if (!m_isWatching || !m_call || !m_schedule.shouldRestartWatch(revision, Clock::now()))
+    if (!m_view.isWatching() || !m_call || !m_schedule.shouldRestartWatch(revision, Clock::now()))
         return;
     m_dependencies.m_log.add("store_watch_behind", {{"collection", collectionName()},
-                                                    {"revision", std::to_string(m_revision)},
+                                                    {"revision", std::to_string(m_view.revision())},
                                                     {"known_elsewhere", std::to_string(revision)}});
     // Opens a new connection, since the old one may be unresponsive.
     m_changeTimes.recordFailure();
@@ -108,24 +107,27 @@
 void StoreFollower::sendRequest()
 {
     const TimePoint now = Clock::now();
+    const bool isWatching = m_view.isWatching();
     const Milliseconds watchTimeout =
-        m_isWatching ? m_schedule.nextWatchTimeout(m_gatewayCount) : Milliseconds(0);
+        isWatching ? m_schedule.nextWatchTimeout(m_gatewayCount) : Milliseconds(0);
     const std::string target =
-        m_isWatching ? m_dependencies.m_protocol.watchTarget(m_collection, m_revision, watchTimeout)
-                     : m_dependencies.m_protocol.listTarget(m_collection, m_lastListedName);
+        isWatching
+            ? m_dependencies.m_protocol.watchTarget(m_collection, m_view.revision(), watchTimeout)
+            : m_dependencies.m_protocol.listTarget(m_collection, m_view.lastListedName());
     m_status = 0;
+    m_responseEra = 0;
     m_body.clear();
     m_changeTimes.recordRequest(now);
     m_dependencies.m_metrics
         .counter("burdockhead_gateway_store_calls_total",
-                 {{"call", m_isWatching ? "watch" : "list"}, {"collection", collectionName()}})
+                 {{"call", isWatching ? "watch" : "list"}, {"collection", collectionName()}})
         .add();
     m_call = m_dependencies.m_client.call(
         m_dependencies.m_store,
         requestHead("GET", target, {{"Host", m_dependencies.m_store.toString()}}),
         {now + connectTimeout, maxIdleTime, false}, *this);
     m_timerId = m_dependencies.m_loop.callAt(
-        now + (m_isWatching ? watchTimeout + watchTimeoutMargin : listTimeout), [this] {
+        now + (isWatching ? watchTimeout + watchTimeoutMargin : listTimeout), [this] {
             m_timerId = 0;
             onFailure("timeout", true);
         });
@@ -134,6 +136,7 @@
 void StoreFollower::callHead(const HttpHead &head)
 {
     m_status = head.m_status;
+    m_responseEra = m_dependencies.m_protocol.parseEra(head);
 }
 
 void StoreFollower::callBody(std::string_view bytes)
@@ -157,11 +160,12 @@
 
 void StoreFollower::onResponse()
 {
-    if (m_status == m_dependencies.m_protocol.historyLostStatus() && m_isWatching) {
-        m_dependencies.m_log.add("store_history_gone", {{"collection", collectionName()},
-                                                        {"revision", std::to_string(m_revision)}});
-        m_isWatching = false;
-        m_lastListedName.clear();
+    const bool isWatch = m_view.isWatching();
+    if (m_status == m_dependencies.m_protocol.historyLostStatus() && isWatch) {
+        m_dependencies.m_log.add(
+            "store_history_gone",
+            {{"collection", collectionName()}, {"revision", std::to_string(m_view.revision())}});
+        m_view.startOver();
         sendRequest();
         return;
     }
@@ -170,29 +174,52 @@
                   m_status == statusTooManyCalls || m_status == statusUnavailable);
         return;
     }
-    const auto page = m_isWatching ? m_dependencies.m_protocol.parseChanges(m_collection, m_body)
-                                   : m_dependencies.m_protocol.parseList(m_collection, m_body);
+    const auto page = isWatch ? m_dependencies.m_protocol.parseChanges(m_collection, m_body)
+                              : m_dependencies.m_protocol.parseList(m_collection, m_body);
     if (!page) {
         onFailure("answer can't be read", false);
         return;
     }
+    if (m_responseEra < m_view.era()) {
+        onFailure("answer of an older era", false);
+        return;
+    }
     onSuccess();
-    const TimePoint now = Clock::now();
-    const TimePoint madeAfter = m_changeTimes.recordResponse(now);
-    if (!m_isWatching) {
-        applyListPage(*page, madeAfter);
-        if (!m_isReadOnce || !m_isWatching)
-            sendRequest();
+    const TimePoint madeAfter = m_changeTimes.recordResponse(Clock::now());
+    if (isWatch)
+        onChanges(*page, madeAfter);
+    else
+        onListPage(*page, madeAfter);
+}
+
+void StoreFollower::onListPage(const StorePage &page, TimePoint madeAfter)
+{
+    const ViewAction action = m_view.recordPage(m_responseEra, page);
+    if (action == ViewAction::Continue) {
+        sendRequest();
         return;
     }
-    m_revision = std::max(m_revision, page->m_revision);
-    if (page->m_changes.empty()) {
+    const bool isRestored = action == ViewAction::ApplyRestored;
+    if (isRestored)
+        logRestored();
+    m_isListed = true;
+    const std::vector<StoreChange> changes = m_view.takeList();
+    recordRevisions(changes);
+    m_handlers.m_listed(changes, {madeAfter, isRestored, true, m_body});
+    if (!m_isReadOnce)
+        sendRequest();
+}
+
+void StoreFollower::onChanges(const StorePage &page, TimePoint madeAfter)
+{
+    const TimePoint now = Clock::now();
+    if (m_view.recordChanges(m_responseEra, page) != ViewAction::ApplyChanges) {
         sendRequest();
         return;
     }
-    for (const StoreChange &change : page->m_changes)
-        m_schedule.recordRevision(change.m_revision);
-    const bool hasNewChanges = m_handlers.m_changed(page->m_changes, madeAfter);
+    recordRevisions(page.m_changes);
+    const bool hasNewChanges =
+        m_handlers.m_changed(page.m_changes, {madeAfter, false, false, m_body});
     m_call.reset();
     m_timerId = m_dependencies.m_loop.callAt(now + m_schedule.delayAfterChanges(hasNewChanges, now),
                                              [this] {
@@ -201,26 +228,21 @@
                                              });
 }
 
-void StoreFollower::applyListPage(const StorePage &page, TimePoint madeAfter)
+void StoreFollower::recordRevisions(const std::vector<StoreChange> &changes)
 {
-    // Uses the revision of the first page: changes made while later pages were read are returned by
-    // the watch.
-    if (m_lastListedName.empty()) {
-        m_listedChanges.clear();
-        m_revision = page.m_revision;
-    }
-    m_listedChanges.insert(m_listedChanges.end(), page.m_changes.begin(), page.m_changes.end());
-    if (page.m_hasMore && !page.m_changes.empty()) {
-        m_lastListedName = page.m_changes.back().m_name;
-        return;
-    }
-    m_lastListedName.clear();
-    m_isWatching = true;
-    m_isListed = true;
-    for (const StoreChange &change : m_listedChanges)
-        m_schedule.recordRevision(change.m_revision);
-    m_handlers.m_listed(m_listedChanges, madeAfter);
-    m_listedChanges.clear();
+    for (const StoreChange &change : changes)
+        m_schedule.recordRevision(toNumber({m_view.era(), change.m_revision}));
+}
+
+void StoreFollower::logRestored()
+{
+    m_dependencies.m_log.add("store_restored", {{"collection", collectionName()},
+                                                {"old_era", std::to_string(m_view.previousEra())},
+                                                {"new_era", std::to_string(m_view.era())},
+                                                {"revision", std::to_string(m_view.revision())}});
+    m_dependencies.m_metrics
+        .counter("burdockhead_gateway_store_eras_total", {{"collection", collectionName()}})
+        .add();
 }
 
 void StoreFollower::onSuccess()
@@ -244,13 +266,12 @@
     m_dependencies.m_loop.cancel(m_timerId);
     m_changeTimes.recordFailure();
     // After a store has lost its history, a watch from an earlier revision may wait in vain.
-    m_isWatching = false;
-    m_lastListedName.clear();
+    m_view.startOver();
     if (m_consecutiveFailures++ == 0) {
         m_outageStartedAt = Clock::now();
         m_dependencies.m_log.add("store_lost", {{"collection", collectionName()},
                                                 {"reason", reason},
-                                                {"revision", std::to_string(m_revision)}});
+                                                {"revision", std::to_string(m_view.revision())}});
     }
     if (isStoreOutage)
         m_dependencies.m_outage.onFailure(m_collection);
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -2,6 +2,7 @@
 
 #include <burdockhead/base/random.h>
 #include <burdockhead/gateway/changetimeestimator.h>
+#include <burdockhead/gateway/collectionview.h>
 #include <burdockhead/gateway/storeoutage.h>
 #include <burdockhead/gateway/storeprotocol.h>
 #include <burdockhead/gateway/watchschedule.h>
@@ -28,19 +29,27 @@
     StoreOutage &m_outage;
 };
 
+// How changes reached a follower.
+struct StoreUpdate
+{
+    TimePoint m_madeAfter;     // The earliest time at which the changes may have been made.
+    bool m_isRestored = false; // The store has come back from an older copy since the last update.
+    bool m_isList = false;
+    const std::string &m_body; // The response that had the changes, or the last page of them.
+};
+
 // Follows one collection of the store: lists it, then watches for changes, and lists again when the
 // store has dropped the history or a call has failed. Failed calls are retried with exponential
 // backoff, so that an outage costs few calls.
 class StoreFollower : private HttpCallObserver
 {
 public:
-    // The handlers' time point is the earliest at which the changes may have been made.
     struct Handlers
     {
         // Called with the whole collection after it was listed.
-        std::function<void(const std::vector<StoreChange> &, TimePoint)> m_listed;
+        std::function<void(const std::vector<StoreChange> &, const StoreUpdate &)> m_listed;
         // Called with changes in order; returns whether any was new to this process.
-        std::function<bool(const std::vector<StoreChange> &, TimePoint)> m_changed;
+        std::function<bool(const std::vector<StoreChange> &, const StoreUpdate &)> m_changed;
     };
 
     StoreFollower(const StoreFollowerDependencies &dependencies, StoreCollection collection,
@@ -60,13 +69,16 @@
     // Sets the number of gateways that share news of changes; the length of watches depends on it.
     void setGatewayCount(std::size_t gatewayCount) { m_gatewayCount = gatewayCount; }
 
-    // Returns the newest revision that this follower has applied.
+    // Returns the newest revision that this follower has applied, as toNumber() gives it.
     std::uint64_t newestRevision() const { return m_schedule.newestRevision(); }
     void onRevisionKnownElsewhere(std::uint64_t revision);
 
     // Returns whether the collection has been listed once.
     bool isListed() const { return m_isListed; }
 
+    // Returns the store's era in this follower's view.
+    std::uint64_t era() const { return m_view.era(); }
+
 private:
     void callHead(const HttpHead &head) override;
     void callBody(std::string_view bytes) override;
@@ -75,7 +87,10 @@
     void sendRequest();
     void sendWhenAllowed();
     void onResponse();
-    void applyListPage(const StorePage &page, TimePoint madeAfter);
+    void onListPage(const StorePage &page, TimePoint madeAfter);
+    void onChanges(const StorePage &page, TimePoint madeAfter);
+    void recordRevisions(const std::vector<StoreChange> &changes);
+    void logRestored();
     void onFailure(const std::string &reason, bool isStoreOutage);
     void onSuccess();
     const char *collectionName() const;
@@ -87,13 +102,11 @@
     std::unique_ptr<HttpCall> m_call;
     TimerId m_timerId = 0;
     int m_status = 0;
+    std::uint64_t m_responseEra = 0;
     std::string m_body;
-    bool m_isWatching = false;
     bool m_isReadOnce = false;
     bool m_isListed = false;
-    std::uint64_t m_revision = 0;
-    std::string m_lastListedName;
-    std::vector<StoreChange> m_listedChanges;
+    CollectionView m_view;
     WatchSchedule m_schedule;
     ChangeTimeEstimator m_changeTimes;
     std::size_t m_gatewayCount = 1;
--- a/src/burdockhead/gateway/storeprotocol.h
+++ b/src/burdockhead/gateway/storeprotocol.h
@@ -2,6 +2,7 @@
 
 #include <burdockhead/gateway/endpointregistration.h>
 #include <burdockhead/gateway/gatewayconfiguration.h>
+#include <burdockhead/net/httphead.h>
 #include <burdockhead/quarantine/quarantinetable.h>
 
 #include <array>
@@ -91,6 +92,9 @@
     virtual std::string watchTarget(StoreCollection collection, std::uint64_t revision,
                                     Milliseconds timeout) const = 0;
 
+    // Returns the era of the store that a response names; 0 if none.
+    virtual std::uint64_t parseEra(const HttpHead &response) const = 0;
+
     // Parse the response bodies; none if they are malformed.
     virtual std::optional<StorePage> parseList(StoreCollection collection,
                                                const std::string &body) const = 0;
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -115,13 +115,13 @@
           Random(systemSeed()))
     , m_configurationFollower(
           followerDependencies(), StoreCollection::Configuration,
-          {[this](const auto &configurations, TimePoint) { applyShape(configurations); },
-           [](const auto &, TimePoint) { return false; }},
+          {[this](const auto &configurations, const auto &) { applyShape(configurations); },
+           [](const auto &, const auto &) { return false; }},
           Random(systemSeed()))
     , m_endpointFollower(
           followerDependencies(), StoreCollection::Endpoints,
-          {[this](const auto &changes, TimePoint) { applyEndpoints(changes, true); },
-           [this](const auto &changes, TimePoint) { return applyEndpoints(changes, false); }},
+          {[this](const auto &changes, const auto &) { applyEndpoints(changes, true); },
+           [this](const auto &changes, const auto &) { return applyEndpoints(changes, false); }},
           Random(systemSeed()))
     , m_listener(m_loop, [this](const auto &exchange) { handle(exchange); })
 {}
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -73,20 +73,50 @@
            + credential + R"("],"priority":1}]})";
 }
 
-void GatewayFixture::startGateway()
-{
-    const std::string settings = m_folder / "gateway.ini";
-    std::ofstream(settings) << "[process]\nname = g1\ndata_centre = a\n[listen]\nclients = "
-                            << m_clients.toString() << "\nreadiness = " << m_readiness.toString()
-                            << "\ndirectory = " << m_directory.toString()
-                            << "\npeers = " << m_peers.toString()
-                            << "\nmetrics = " << m_metrics.toString()
+std::string GatewayFixture::writeSettings(const std::string &name, const SocketAddress &clients,
+                                          const SocketAddress &peers,
+                                          const SocketAddress &readiness)
+{
+    const bool isFirst = peers == m_peers;
+    std::string settings = m_folder / (name + ".ini");
+    std::ofstream(settings) << "[process]\nname = " << name
+                            << "\ndata_centre = a\n[listen]\nclients = " << clients.toString()
+                            << "\nreadiness = " << readiness.toString() << "\ndirectory = "
+                            << (isFirst ? m_directory : freeLoopbackAddress()).toString()
+                            << "\npeers = " << peers.toString() << "\nmetrics = "
+                            << (isFirst ? m_metrics : freeLoopbackAddress()).toString()
                             << "\n[store]\naddress = " << m_store.address().toString()
+                            << (isFirst ? "" : "\n[seeds]\npeers = " + m_peers.toString())
                             << "\n[bounds]\nretry_burst = 160\nstop_grace_s = 5\n";
-    m_gateway = std::make_unique<ChildProcess>(
+    return settings;
+}
+
+std::unique_ptr<ChildProcess> GatewayFixture::startProcess(const std::string &name,
+                                                           const std::string &settings) const
+{
+    return std::make_unique<ChildProcess>(
         std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
                                  "--settings=" + settings},
-        m_folder / "gateway.log");
+        m_folder / (name + ".log"));
+}
+
+void GatewayFixture::startGateway()
+{
+    m_gateway = startProcess("gateway", writeSettings("g1", m_clients, m_peers, m_readiness));
+}
+
+GatewayFixture::FurtherGateway GatewayFixture::startFurtherGateway(const std::string &name)
+{
+    FurtherGateway gateway;
+    gateway.m_clients = freeLoopbackAddress();
+    const SocketAddress readiness = freeLoopbackAddress();
+    gateway.m_process = startProcess(
+        name, writeSettings(name, gateway.m_clients, freeLoopbackAddress(), readiness));
+    const auto isReady = [&] { return query(readiness, "/-/readiness")->status() == 200; };
+    for (int attempt = 0; attempt < 500 && !isReady(); ++attempt)
+        waitFor(Milliseconds(5));
+    BOOST_REQUIRE(isReady());
+    return gateway;
 }
 
 void GatewayFixture::start()
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -56,6 +56,16 @@
 
     void startGateway();
 
+    // A further gateway, which knows the first one as a seed.
+    struct FurtherGateway
+    {
+        std::unique_ptr<ChildProcess> m_process;
+        SocketAddress m_clients;
+    };
+
+    // Starts one and waits until it is ready.
+    FurtherGateway startFurtherGateway(const std::string &name);
+
     // Starts everything and waits until the gateway is ready.
     void start();
 
@@ -93,6 +103,10 @@
 private:
     std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
                                      const HttpHeaders &furtherHeaders);
+    std::string writeSettings(const std::string &name, const SocketAddress &clients,
+                              const SocketAddress &peers, const SocketAddress &readiness);
+    std::unique_ptr<ChildProcess> startProcess(const std::string &name,
+                                               const std::string &settings) const;
     std::unique_ptr<ClientCall> query(const SocketAddress &address, const std::string &target);
 
     SocketAddress m_readiness;
--- a/tests/standins/fleet/storestandin.cpp
+++ b/tests/standins/fleet/storestandin.cpp
@@ -80,6 +80,26 @@
         m_silenced.push_back(watch.m_exchange);
 }
 
+HttpHeaders StoreStandIn::headers() const
+{
+    return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}};
+}
+
+void StoreStandIn::takeCopy()
+{
+    m_copy = {m_objects, m_history, m_revision};
+}
+
+void StoreStandIn::restoreCopy()
+{
+    ++m_era;
+    m_objects = m_copy.m_objects;
+    m_history = m_copy.m_history;
+    m_revision = m_copy.m_revision;
+    for (const Watch &watch : std::exchange(m_watches, {}))
+        watch.m_exchange->breakOff();
+}
+
 void StoreStandIn::forgetHistory()
 {
     m_forgottenUpTo = ++m_revision;
@@ -93,7 +113,7 @@
 {
     ++m_calls;
     if (m_refusal != 0) {
-        exchange->answer(m_refusal, {}, "");
+        exchange->answer(m_refusal, headers(), "");
         return;
     }
     if (m_isSilent) {
@@ -106,7 +126,7 @@
     request.m_path = target.substr(0, question);
     request.m_query = question == std::string::npos ? "" : target.substr(question + 1);
     if (!request.m_path.starts_with(pathPrefix)) {
-        exchange->answer(404, {}, "");
+        exchange->answer(404, headers(), "");
         return;
     }
     const std::string path = request.m_path.substr(std::string(pathPrefix).size());
@@ -117,7 +137,7 @@
         return;
     }
     if (kind == m_spoiled) {
-        exchange->answer(200, {{"Content-Type", "application/json"}}, "no JSON");
+        exchange->answer(200, headers(), "no JSON");
         return;
     }
     if (const auto after = request.queryValue("watch"))
@@ -136,18 +156,18 @@
         method == "POST" ? body.at("metadata").at("name").get<std::string>() : name;
     const bool exists = m_objects[kind].contains(target);
     if (method == "POST" && exists) {
-        exchange.answer(409, {}, objectJson(kind, target));
+        exchange.answer(409, headers(), objectJson(kind, target));
         return;
     }
     if (method != "POST" && !exists) {
-        exchange.answer(404, {}, "");
+        exchange.answer(404, headers(), "");
         return;
     }
     if (method == "DELETE")
         remove(kind, target);
     else
         put(kind, target, body.at("spec").dump());
-    exchange.answer(200, {}, method == "DELETE" ? "" : objectJson(kind, target));
+    exchange.answer(200, headers(), method == "DELETE" ? "" : objectJson(kind, target));
 }
 
 std::vector<std::string> StoreStandIn::names(const std::string &kind) const
@@ -169,7 +189,7 @@
         for (const auto &[name, spec] : objects->second)
             items += (items.empty() ? "" : ",") + objectJson(kind, name);
     }
-    exchange.answer(200, {{"Content-Type", "application/json"}},
+    exchange.answer(200, headers(),
                     R"({"items":[)" + items + R"(],"hasMore":false)" + withRevision(m_revision));
 }
 
@@ -177,6 +197,10 @@
                          std::uint64_t after, Milliseconds wait)
 {
     const Watch watch = {exchange, kind, after};
+    if (after > m_revision) {
+        exchange->answer(410, headers(), "");
+        return;
+    }
     if (tell(watch))
         return;
     m_watches.push_back(watch);
@@ -189,9 +213,9 @@
             return;
         std::erase_if(m_watches, [&](const Watch &other) { return other.m_exchange == waiting; });
         if (after < m_forgottenUpTo)
-            waiting->answer(410, {}, "");
+            waiting->answer(410, headers(), "");
         else
-            waiting->answer(200, {}, R"({"events":[])" + withRevision(m_revision));
+            waiting->answer(200, headers(), R"({"events":[])" + withRevision(m_revision));
     });
 }
 
@@ -207,7 +231,7 @@
     }
     if (events.empty())
         return false;
-    watch.m_exchange->answer(200, {{"Content-Type", "application/json"}},
+    watch.m_exchange->answer(200, headers(),
                              R"({"events":[)" + events + "]" + withRevision(m_revision));
     return true;
 }
--- a/tests/standins/fleet/storestandin.h
+++ b/tests/standins/fleet/storestandin.h
@@ -34,6 +34,12 @@
     // Answers calls for one collection with bytes that can't be read.
     void spoil(const std::string &kind) { m_spoiled = kind; }
 
+    // Takes a copy of all objects, and comes back from it: in the next era, with the revision of
+    // the copy. Watches are cut, and those from a revision that it doesn't have get 410.
+    void takeCopy();
+    void restoreCopy();
+    std::uint64_t era() const { return m_era; }
+
     // Forgets all changes so far and cuts the watches. Watches from before are then left
     // waiting for their whole time before they are told that the history is gone.
     void forgetHistory();
@@ -61,6 +67,13 @@
         std::string m_json;
     };
 
+    struct Copy
+    {
+        std::map<std::string, std::map<std::string, std::string>> m_objects;
+        std::vector<Event> m_history;
+        std::uint64_t m_revision = 0;
+    };
+
     struct Watch
     {
         std::shared_ptr<HttpExchange> m_exchange;
@@ -69,6 +82,7 @@
     };
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
+    HttpHeaders headers() const;
     void write(HttpExchange &exchange, const std::string &kind, const std::string &name);
     void list(HttpExchange &exchange, const std::string &kind) const;
     void watch(const std::shared_ptr<HttpExchange> &exchange, const std::string &kind,
@@ -86,6 +100,8 @@
     std::vector<Watch> m_watches;
     std::vector<std::shared_ptr<HttpExchange>> m_silenced;
     std::uint64_t m_revision = 10;
+    std::uint64_t m_era = 1;
+    Copy m_copy;
     std::uint64_t m_forgottenUpTo = 0;
     std::size_t m_calls = 0;
     std::map<std::string, std::size_t> m_callsByKind;
