Let an HTTP listener go while a connection is being accepted

A case of test_storerestore broke off with a memory access violation in about one of four runs: a stand-in of an endpoint, which crashes by destroying its listener. The stack showed the handler of an accept that runs after the listener has gone: with several connections at hand the next accept succeeds at once, and its handler waits in the loop behind the one that destroys the listener. A connection that was being closed had the same fault in the call that drops it.

The handlers now hold the listener weakly, and connections share what they need. An accept that ends after the port was closed isn't tried again.

--- a/src/burdockhead/net/httplistener.cpp
+++ b/src/burdockhead/net/httplistener.cpp
@@ -16,38 +16,52 @@
 
 } // namespace
 
-struct HttpListener::Private
+// An accept that has succeeded already comes after the listener has gone.
+struct HttpListener::Private : std::enable_shared_from_this<Private>
 {
     Private(EventLoop &loop, HttpExchangeHandler handler)
-        : m_shared{loop, std::move(handler), {}, false, 0, {}}
+        : m_shared(std::make_shared<HttpServerShared>(HttpServerShared{loop, std::move(handler)}))
         , m_acceptor(loop.context())
     {
-        m_shared.m_forget = [this](HttpServerConnection &connection) {
+        m_shared->m_forget = [this](HttpServerConnection &connection) {
             m_connections.erase(&connection);
         };
     }
 
+    ~Private()
+    {
+        m_shared->m_forget = [](HttpServerConnection &) {};
+    }
+
     void accept();
     void accepted(asio::ip::tcp::socket socket);
 
-    HttpServerShared m_shared;
+    const std::shared_ptr<HttpServerShared> m_shared;
     asio::ip::tcp::acceptor m_acceptor;
     std::unordered_map<HttpServerConnection *, std::shared_ptr<HttpServerConnection>> m_connections;
 };
 
 void HttpListener::Private::accept()
 {
-    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-            return;
-        if (error) {
+    m_acceptor.async_accept(
+        [weak = weak_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (!error)
+                self->accepted(std::move(socket));
+            if (!self->m_acceptor.is_open())
+                return;
+            if (!error) {
+                self->accept();
+                return;
+            }
             logWarning("accept_failed", {{"reason", error.message()}});
-            m_shared.m_loop.callAt(Clock::now() + acceptRetryPause, [this] { accept(); });
-            return;
-        }
-        accepted(std::move(socket));
-        accept();
-    });
+            self->m_shared->m_loop.callAt(Clock::now() + acceptRetryPause, [weak] {
+                if (const auto self = weak.lock())
+                    self->accept();
+            });
+        });
 }
 
 void HttpListener::Private::accepted(asio::ip::tcp::socket socket)
@@ -65,7 +79,7 @@
 }
 
 HttpListener::HttpListener(EventLoop &loop, HttpExchangeHandler handler)
-    : m_d(std::make_unique<Private>(loop, std::move(handler)))
+    : m_d(std::make_shared<Private>(loop, std::move(handler)))
 {}
 
 HttpListener::~HttpListener() = default;
@@ -93,12 +107,12 @@
 
 void HttpListener::setLimits(const HttpServerLimits &limits)
 {
-    m_d->m_shared.m_limits = limits;
+    m_d->m_shared->m_limits = limits;
 }
 
 void HttpListener::closeAfterAnswers()
 {
-    m_d->m_shared.m_closesAfterAnswers = true;
+    m_d->m_shared->m_closesAfterAnswers = true;
 }
 
 void HttpListener::closeIdle()
@@ -112,7 +126,7 @@
     asio::error_code error;
     m_d->m_acceptor.non_blocking(true, error);
     while (!error) {
-        asio::ip::tcp::socket socket(m_d->m_shared.m_loop.context());
+        asio::ip::tcp::socket socket(m_d->m_shared->m_loop.context());
         m_d->m_acceptor.accept(socket, error);
         if (!error)
             m_d->accepted(std::move(socket));
@@ -123,7 +137,7 @@
 
 std::size_t HttpListener::openRequests() const
 {
-    return m_d->m_shared.m_openRequests;
+    return m_d->m_shared->m_openRequests;
 }
 
 bool HttpListener::mayOweResponses() const
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -56,7 +56,7 @@
 private:
     friend class HttpServerConnection;
     struct Private;
-    std::unique_ptr<Private> m_d;
+    std::shared_ptr<Private> m_d;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -16,22 +16,21 @@
 
 } // namespace
 
-HttpServerConnection::HttpServerConnection(HttpServerShared &shared, int descriptor)
-    : m_shared(shared)
-    , m_stream(TcpStream::adopt(shared.m_loop, descriptor, *this))
+HttpServerConnection::HttpServerConnection(std::shared_ptr<HttpServerShared> shared, int descriptor)
+    : m_shared(std::move(shared))
+    , m_stream(TcpStream::adopt(m_shared->m_loop, descriptor, *this))
     , m_parser(HttpMessageType::Request, *this)
 {}
 
-// A closed connection may outlive its listener within the loop, so nothing shared is touched.
 HttpServerConnection::~HttpServerConnection()
 {
     if (m_timer != 0)
-        m_shared.m_loop.cancel(m_timer);
+        m_shared->m_loop.cancel(m_timer);
 }
 
 void HttpServerConnection::start()
 {
-    setTimer(m_shared.m_limits.m_idleTimeout);
+    setTimer(m_shared->m_limits.m_idleTimeout);
 }
 
 void HttpServerConnection::closeIfIdle()
@@ -49,8 +48,8 @@
 
 void HttpServerConnection::setTimer(Milliseconds span)
 {
-    m_shared.m_loop.cancel(m_timer);
-    m_timer = m_shared.m_loop.callAt(Clock::now() + span, [this] {
+    m_shared->m_loop.cancel(m_timer);
+    m_timer = m_shared->m_loop.callAt(Clock::now() + span, [this] {
         m_timer = 0;
         const auto self = shared_from_this();
         if (!m_isLingering && m_parser.hasBegun())
@@ -87,7 +86,7 @@
         if (m_parser.isComplete())
             startExchange();
         else if (isFirst)
-            setTimer(m_shared.m_limits.m_headerTimeout);
+            setTimer(m_shared->m_limits.m_headerTimeout);
         else if (used == 0)
             break;
     }
@@ -97,7 +96,7 @@
 
 bool HttpServerConnection::refuseMalformed()
 {
-    if (m_parser.headBytes() > m_shared.m_limits.m_maxHeaderBytes)
+    if (m_parser.headBytes() > m_shared->m_limits.m_maxHeaderBytes)
         refuse(431);
     else if (m_bodyTooLarge)
         refuse(413);
@@ -116,7 +115,7 @@
 
 void HttpServerConnection::messageHead(HttpHead head)
 {
-    m_bodyTooLarge = head.m_contentLength.value_or(0) > m_shared.m_limits.m_maxBodyBytes;
+    m_bodyTooLarge = head.m_contentLength.value_or(0) > m_shared->m_limits.m_maxBodyBytes;
     const auto expect = findHeader(head.m_headers, "Expect");
     if (expect && isSameHeaderName(*expect, "100-continue") && !m_bodyTooLarge)
         m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -125,7 +124,7 @@
 
 void HttpServerConnection::messageBody(std::string_view bytes)
 {
-    if (m_body.size() + bytes.size() > m_shared.m_limits.m_maxBodyBytes)
+    if (m_body.size() + bytes.size() > m_shared->m_limits.m_maxBodyBytes)
         m_bodyTooLarge = true;
     else
         m_body.append(bytes);
@@ -133,19 +132,19 @@
 
 void HttpServerConnection::startExchange()
 {
-    m_shared.m_loop.cancel(m_timer);
+    m_shared->m_loop.cancel(m_timer);
     m_exchange =
         std::make_shared<HttpExchange>(weak_from_this(), std::move(m_head), std::move(m_body));
     m_head = {};
     m_body.clear();
-    ++m_shared.m_openRequests;
+    ++m_shared->m_openRequests;
     const auto exchange = m_exchange;
-    m_shared.m_handler(exchange);
+    m_shared->m_handler(exchange);
 }
 
 bool HttpServerConnection::willClose() const
 {
-    return m_shared.m_closesAfterAnswers || (m_exchange && !m_exchange->head().m_keepsConnection);
+    return m_shared->m_closesAfterAnswers || (m_exchange && !m_exchange->head().m_keepsConnection);
 }
 
 void HttpServerConnection::write(std::string_view bytes)
@@ -165,7 +164,7 @@
     const bool closes = willClose();
     m_hasAnswered = true;
     m_exchange.reset();
-    --m_shared.m_openRequests;
+    --m_shared->m_openRequests;
     // What is written of an answer that breaks off still reaches the client, and its end doesn't
     // look like one.
     if (!isWhole || closes)
@@ -178,11 +177,11 @@
 {
     m_parser.reset();
     m_bodyTooLarge = false;
-    setTimer(m_shared.m_limits.m_idleTimeout);
+    setTimer(m_shared->m_limits.m_idleTimeout);
     if (m_isConsuming || m_pending.empty())
         return;
     // From the loop, so that a client with many requests at hand doesn't deepen the stack.
-    m_shared.m_loop.post([weak = weak_from_this()] {
+    m_shared->m_loop.post([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self || self->m_exchange || self->m_isConsuming || self->m_isClosed)
             return;
@@ -213,11 +212,11 @@
         return;
     m_isClosed = true;
     m_stream->close();
-    m_shared.m_loop.cancel(m_timer);
+    m_shared->m_loop.cancel(m_timer);
     if (m_exchange) {
         const auto exchange = std::move(m_exchange);
         m_exchange.reset();
-        --m_shared.m_openRequests;
+        --m_shared->m_openRequests;
         exchange->m_isOver = true;
         const auto gone = std::move(exchange->m_clientGone);
         exchange->m_clientGone = nullptr;
@@ -225,7 +224,7 @@
             gone();
     }
     // From the loop, since the listener may be going over its connections.
-    m_shared.m_loop.post([self = shared_from_this()] { self->m_shared.m_forget(*self); });
+    m_shared->m_loop.post([self = shared_from_this()] { self->m_shared->m_forget(*self); });
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/net/httpserverconnection.h
+++ b/src/burdockhead/net/httpserverconnection.h
@@ -6,7 +6,8 @@
 
 namespace burdockhead {
 
-// What the connections of one listener share.
+// What the connections of one listener share. A connection that is being closed may outlive the
+// listener within the loop.
 struct HttpServerShared
 {
     EventLoop &m_loop;
@@ -23,7 +24,7 @@
                              private HttpMessageSink
 {
 public:
-    HttpServerConnection(HttpServerShared &shared, int descriptor);
+    HttpServerConnection(std::shared_ptr<HttpServerShared> shared, int descriptor);
     ~HttpServerConnection();
 
     // Starts the timer of the first request.
@@ -55,7 +56,7 @@
     void close();
     void setTimer(Milliseconds span);
 
-    HttpServerShared &m_shared;
+    const std::shared_ptr<HttpServerShared> m_shared;
     std::shared_ptr<TcpStream> m_stream;
     HttpMessageParser m_parser;
     HttpHead m_head;
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -182,4 +182,34 @@
     BOOST_TEST(late.received().empty());
 }
 
+// With several connections at hand, one is accepted already when the next is on its way to the
+// listener.
+BOOST_AUTO_TEST_CASE(a_listener_may_go_while_connections_are_being_accepted)
+{
+    constexpr std::size_t clients = 20;
+    auto server = std::make_unique<Server>(m_loop);
+    std::vector<std::unique_ptr<RawClient>> connected;
+    for (std::size_t client = 0; client < clients; ++client)
+        connected.push_back(std::make_unique<RawClient>(m_loop, server->m_address));
+    m_loop.callAt(Clock::now(), [&] { server.reset(); });
+    runUntil(m_loop, [&] {
+        return std::all_of(connected.begin(), connected.end(),
+                           [](const auto &client) { return client->hasEnded(); });
+    });
+    BOOST_TEST(!server);
+}
+
+BOOST_AUTO_TEST_CASE(a_listener_may_go_while_a_connection_is_being_closed)
+{
+    auto server = std::make_unique<Server>(m_loop);
+    RawClient client(m_loop, server->m_address);
+    client.write("GET / HTTP/1.1\r\n\r\n");
+    runUntil(m_loop, [&] { return server->m_exchanges.size() == 1; });
+    client.close();
+    runUntil(m_loop, [&] { return server->m_gone == 1; });
+    server.reset();
+    m_client.write("GET / HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
