--- a/src/burdockhead/gateway/storefollower.cpp
+++ b/src/burdockhead/gateway/storefollower.cpp
@@ -84,7 +84,26 @@
     m_dependencies.m_log.add("store_watch_behind", {{"collection", collectionName()},
                                                     {"revision", std::to_string(m_view.revision())},
                                                     {"known_elsewhere", std::to_string(revision)}});
-    // Opens a new connection, since the old one may be unresponsive.
+    restartCall();
+}
+
+void StoreFollower::onEraKnownElsewhere(std::uint64_t era)
+{
+    if (era <= std::max(m_view.era(), m_eraKnownElsewhere))
+        return;
+    m_eraKnownElsewhere = era;
+    if (!m_view.isWatching())
+        return;
+    m_dependencies.m_log.add("store_era_behind", {{"collection", collectionName()},
+                                                  {"era", std::to_string(m_view.era())},
+                                                  {"known_elsewhere", std::to_string(era)}});
+    m_view.startOver();
+    restartCall();
+}
+
+// Opens a new connection, since the old one may be unresponsive.
+void StoreFollower::restartCall()
+{
     m_changeTimes.recordFailure();
     m_call.reset();
     m_dependencies.m_loop.cancel(m_timerId);
--- a/src/burdockhead/gateway/storefollower.h
+++ b/src/burdockhead/gateway/storefollower.h
@@ -73,6 +73,10 @@
     std::uint64_t newestRevision() const { return m_schedule.newestRevision(); }
     void onRevisionKnownElsewhere(std::uint64_t revision);
 
+    // Lists the collection anew if the view is of an older era: the store may take a watch of that
+    // view for one of its own era and return nothing until the watch ends.
+    void onEraKnownElsewhere(std::uint64_t era);
+
     // Returns whether the collection has been listed once.
     bool isListed() const { return m_isListed; }
 
@@ -91,6 +95,7 @@
     void onChanges(const StorePage &page, TimePoint madeAfter);
     void recordRevisions(const std::vector<StoreChange> &changes);
     void logRestored();
+    void restartCall();
     void onFailure(const std::string &reason, bool isStoreOutage);
     void onSuccess();
     const char *collectionName() const;
@@ -107,6 +112,7 @@
     bool m_isReadOnce = false;
     bool m_isListed = false;
     CollectionView m_view;
+    std::uint64_t m_eraKnownElsewhere = 0;
     WatchSchedule m_schedule;
     ChangeTimeEstimator m_changeTimes;
     std::size_t m_gatewayCount = 1;
--- a/src/burdockhead/gateway/storeupdates.cpp
+++ b/src/burdockhead/gateway/storeupdates.cpp
@@ -119,7 +119,7 @@
 }
 
 // Publishes the applied store revisions to the other gateways, and restarts watches that have
-// missed revisions which others have applied.
+// missed revisions, or a new era, which other gateways or followers know.
 void StoreUpdates::exchangeRevisions(TimePoint now)
 {
     const std::array<StoreFollower *, storeCollectionCount> followers = {
@@ -131,8 +131,13 @@
     peers.setNewestRevisions(localRevisions);
     const StoreRevisions newestRevisions = peers.newestRevisions(now);
     const std::size_t gatewayCount = peers.livePeers(now).size() + 1;
+    std::uint64_t newestEra = 0;
+    for (std::size_t index = 0; index < storeCollectionCount; ++index)
+        newestEra = std::max({newestEra, followers[index]->era(),
+                              storeRevisionFromNumber(newestRevisions[index]).m_era});
     for (std::size_t index = 0; index < storeCollectionCount; ++index) {
         followers[index]->setGatewayCount(gatewayCount);
+        followers[index]->onEraKnownElsewhere(newestEra);
         followers[index]->onRevisionKnownElsewhere(newestRevisions[index]);
     }
 }
--- a/tests/public/gateway/test_storerestore.cpp
+++ b/tests/public/gateway/test_storerestore.cpp
@@ -84,9 +84,26 @@
     for (int count = 0; count < 30; ++count)
         m_store.put("other", "x", std::to_string(count));
     m_store.setSilent(false);
-    const TimePoint deadline = Clock::now() + Seconds(4);
-    while (statusWith("new") != 200)
-        BOOST_REQUIRE((Clock::now() < deadline));
+    waitForStatus("new", 200);
+}
+
+// Its connections to the store went silent before; another gateway knows of the new era.
+BOOST_AUTO_TEST_CASE(a_gateway_whose_watches_are_silent_learns_of_the_restore_from_another)
+{
+    m_store.takeCopy();
+    start();
+    waitFor(Seconds(1));
+    m_store.silenceWatches();
+    FurtherGateway second = startFurtherGateway("g2");
+    m_store.restoreCopy();
+    m_store.put("config", "main", configuration(31, "new"));
+    for (int count = 0; count < 30; ++count)
+        m_store.put("other", "x", std::to_string(count));
+    for (const auto &endpoint : m_llm)
+        m_store.put("servers", endpoint->id(), endpoint->entry());
+    for (const auto &endpoint : m_app)
+        m_store.put("servers", endpoint->id(), endpoint->entry());
+    waitForStatus("new", 200);
 }
 
 BOOST_AUTO_TEST_CASE(endpoints_that_the_copy_does_not_have_stay_in_use_until_they_register_again)
