Rename the HTTP client's HttpCall, whose name another class had

Two headers defined burdockhead::HttpCall: a struct in http/httpclient.h and an abstract class in net/httpclientpool.h. One program links both, and the linker kept one destructor for the two (a weak symbol in build/burdockhead, the struct's). Nothing was seen of it: the class's destructor is empty and inlined in optimized builds. Found when a program included both headers.

--- a/bench/processes/bench_hop.cpp
+++ b/bench/processes/bench_hop.cpp
@@ -48,7 +48,7 @@
 // Makes one call and waits for its end; the time to the first data and to the end.
 WayFigures timedCall(HttpClient &http, const SocketAddress &address, unsigned count)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = "POST";
     call.m_url = "http://" + address.toString() + "/v1/chat/completions";
     call.m_headers = {{"Burdockhead-Workspace", "library"}, {"Burdockhead-Kind", "digest"}};
--- a/src/burdockhead/agent/endpointclient.cpp
+++ b/src/burdockhead/agent/endpointclient.cpp
@@ -49,7 +49,7 @@
 
 std::uint64_t EndpointClient::start(const EndpointCall &call, EndpointCallHandlers handlers)
 {
-    HttpCall http;
+    HttpClientCall http;
     http.m_method = call.m_method;
     http.m_url = m_url + call.m_path;
     http.m_body = call.m_body;
@@ -78,7 +78,7 @@
 void EndpointClient::probe(TimePoint deadline,
                            std::function<void(std::optional<EndpointHealth>)> handler)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_url = m_url + m_probePath;
     call.m_deadline = deadline;
     const auto response = std::make_shared<ProbeResponse>();
--- a/src/burdockhead/expertmap/httpstepengine.cpp
+++ b/src/burdockhead/expertmap/httpstepengine.cpp
@@ -97,7 +97,7 @@
 
 std::optional<std::string> HttpStepEngine::call(const std::string &path, std::string body)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = body.empty() ? "GET" : "POST";
     call.m_url = m_url + path;
     call.m_body = std::move(body);
--- a/src/burdockhead/http/httpclient.cpp
+++ b/src/burdockhead/http/httpclient.cpp
@@ -20,7 +20,7 @@
 struct OpenCall
 {
     std::uint64_t m_id = 0;
-    HttpCall m_call;
+    HttpClientCall m_call;
     HttpCallHandlers m_handlers;
     CURL *m_easy = nullptr;
     curl_slist *m_headerList = nullptr;
@@ -77,7 +77,7 @@
 void setOptions(OpenCall &open)
 {
     CURL *easy = open.m_easy;
-    const HttpCall &call = open.m_call;
+    const HttpClientCall &call = open.m_call;
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &open);
     curl_easy_setopt(easy, CURLOPT_URL, call.m_url.c_str());
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -243,7 +243,7 @@
     curl_multi_cleanup(m_d->m_multi);
 }
 
-std::uint64_t HttpClient::start(HttpCall call, HttpCallHandlers handlers)
+std::uint64_t HttpClient::start(HttpClientCall call, HttpCallHandlers handlers)
 {
     auto open = std::make_unique<OpenCall>();
     open->m_call = std::move(call);
@@ -268,7 +268,7 @@
     curl_multi_wakeup(m_d->m_multi);
 }
 
-std::optional<HttpResponse> HttpClient::callAndWait(HttpCall call, Failure &failure)
+std::optional<HttpResponse> HttpClient::callAndWait(HttpClientCall call, Failure &failure)
 {
     auto response = std::make_shared<HttpResponse>();
     auto done = std::make_shared<std::promise<HttpOutcome>>();
--- a/src/burdockhead/http/httpclient.h
+++ b/src/burdockhead/http/httpclient.h
@@ -15,7 +15,7 @@
 namespace burdockhead {
 
 // One call to an HTTP server.
-struct HttpCall
+struct HttpClientCall
 {
     std::string m_method = "GET";
     std::string m_url;
@@ -56,14 +56,14 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     // Starts a call; the number names it for cancel().
-    std::uint64_t start(HttpCall call, HttpCallHandlers handlers);
+    std::uint64_t start(HttpClientCall call, HttpCallHandlers handlers);
 
     // Ends a call early by closing its connection; no effect once it has ended.
     void cancel(std::uint64_t id);
 
     // Makes a call and waits for its end. Not to be used from a handler. None when no whole
     // response arrived; the failure says why.
-    std::optional<HttpResponse> callAndWait(HttpCall call, Failure &failure);
+    std::optional<HttpResponse> callAndWait(HttpClientCall call, Failure &failure);
 
 private:
     struct Private;
--- a/src/burdockhead/operators/configurationclient.cpp
+++ b/src/burdockhead/operators/configurationclient.cpp
@@ -31,7 +31,7 @@
 
 // Makes a blocking call. The failure distinguishes a call that was never sent
 // (PeerUnreachable) from one whose response was lost (OutcomeUnknown).
-std::optional<HttpResponse> callOnce(HttpClient &http, HttpCall call, Failure &failure)
+std::optional<HttpResponse> callOnce(HttpClient &http, HttpClientCall call, Failure &failure)
 {
     const auto pending = std::make_shared<PendingCall>();
     HttpCallHandlers handlers;
@@ -67,9 +67,10 @@
     , m_timeout(timeout)
 {}
 
-HttpCall ConfigurationClient::makeCall(const SocketAddress &entry, const std::string &path) const
+HttpClientCall ConfigurationClient::makeCall(const SocketAddress &entry,
+                                             const std::string &path) const
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_url = "http://" + entry.toString() + path;
     call.m_deadline = Clock::now() + m_timeout;
     call.m_neverResend = true;
@@ -112,7 +113,7 @@
 std::optional<HttpResponse> ConfigurationClient::put(std::uint64_t baseVersion,
                                                      const std::string &text, Failure &failure)
 {
-    HttpCall call = makeCall(m_lastResponder, configurationPath);
+    HttpClientCall call = makeCall(m_lastResponder, configurationPath);
     call.m_method = "PUT";
     call.m_headers = {{"If-Match", std::to_string(baseVersion)}};
     call.m_body = text;
--- a/src/burdockhead/operators/configurationclient.h
+++ b/src/burdockhead/operators/configurationclient.h
@@ -55,7 +55,7 @@
     // Determines the outcome of a change whose response was lost by reading the configuration.
     std::optional<std::uint64_t> readBack(std::uint64_t baseVersion, const std::string &text,
                                           Failure &failure);
-    HttpCall makeCall(const SocketAddress &entry, const std::string &path) const;
+    HttpClientCall makeCall(const SocketAddress &entry, const std::string &path) const;
 
     const std::vector<SocketAddress> m_entries;
     const Milliseconds m_timeout;
--- a/src/burdockhead/operators/timelinecollector.cpp
+++ b/src/burdockhead/operators/timelinecollector.cpp
@@ -76,7 +76,7 @@
     const std::string query = "?" + filter.toQuery();
     HttpClient client;
     for (std::size_t index = 0; index < members.size(); ++index) {
-        HttpCall call;
+        HttpClientCall call;
         call.m_url = "http://" + members[index].m_operatorAddress.toString() + timelinePath + query;
         call.m_deadline = deadline;
         client.start(std::move(call), pendingResponses.handlersFor(index));
--- a/src/burdockhead/platform/httpobjectapi.cpp
+++ b/src/burdockhead/platform/httpobjectapi.cpp
@@ -55,7 +55,7 @@
 std::optional<HttpResponse> HttpObjectApi::Private::get(const std::string &path, TimePoint deadline)
 {
     for (std::size_t attempt = 0; attempt < m_baseUrls.size(); ++attempt) {
-        HttpCall call;
+        HttpClientCall call;
         call.m_url = url(path);
         call.m_deadline = deadline;
         Failure failure;
@@ -105,7 +105,7 @@
 
 WriteAnswer HttpObjectApi::write(const PlatformObject &object, TimePoint deadline)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = "PUT";
     call.m_url = m_d->url("/objects/" + escapePathSegment(object.m_kind) + "/"
                           + escapePathSegment(object.m_name));
--- a/tests/internal/expertmap/test_stepgateprocess.cpp
+++ b/tests/internal/expertmap/test_stepgateprocess.cpp
@@ -48,7 +48,7 @@
 
     std::string call(std::uint32_t rank, const std::string &path, const std::string &body)
     {
-        HttpCall call;
+        HttpClientCall call;
         call.m_method = body.empty() ? "GET" : "POST";
         call.m_url = url(rank) + path;
         call.m_body = body;
--- a/tests/internal/http/test_httproundtrip.cpp
+++ b/tests/internal/http/test_httproundtrip.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-HttpCall callTo(const SocketAddress &address, const std::string &path, std::string body)
+HttpClientCall callTo(const SocketAddress &address, const std::string &path, std::string body)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = "POST";
     call.m_url = "http://" + address.toString() + path;
     call.m_body = std::move(body);
@@ -92,7 +92,7 @@
     const auto outcomeOf = [](const SocketAddress &address) {
         HttpClient client;
         std::promise<HttpOutcome> done;
-        HttpCall call = callTo(address, "/", "body");
+        HttpClientCall call = callTo(address, "/", "body");
         call.m_neverResend = true;
         HttpCallHandlers handlers;
         handlers.m_onDone = [&](const HttpOutcome &outcome) { done.set_value(outcome); };
--- a/tests/internal/http/test_neverresend.cpp
+++ b/tests/internal/http/test_neverresend.cpp
@@ -82,7 +82,7 @@
     HttpClient client;
     std::optional<HttpResponse> answer;
     for (int round = 0; round < 2; ++round) {
-        HttpCall call;
+        HttpClientCall call;
         call.m_method = "POST";
         call.m_url = "http://" + server.address().toString() + "/pay";
         call.m_body = "the body";
--- a/tests/internal/http/test_unframedanswer.cpp
+++ b/tests/internal/http/test_unframedanswer.cpp
@@ -71,7 +71,7 @@
 std::optional<HttpResponse> answerOf(const UnframedServer &server)
 {
     HttpClient client;
-    HttpCall call;
+    HttpClientCall call;
     call.m_url = "http://" + server.address().toString() + "/x";
     call.m_deadline = Clock::now() + Seconds(20);
     Failure failure;
--- a/tests/internal/platform/test_httpobjectapi.cpp
+++ b/tests/internal/platform/test_httpobjectapi.cpp
@@ -24,7 +24,7 @@
     std::string control(const std::string &method, const std::string &path, const std::string &body)
     {
         Failure failure;
-        HttpCall call;
+        HttpClientCall call;
         call.m_method = method;
         call.m_url = m_url + path;
         call.m_body = body;
--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -250,7 +250,7 @@
                                              const std::string &body,
                                              std::vector<HttpHeader> headers)
 {
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = method;
     call.m_url = "http://" + address.toString() + path;
     call.m_headers = std::move(headers);
--- a/tests/public/processes/test_longanswer.cpp
+++ b/tests/public/processes/test_longanswer.cpp
@@ -21,7 +21,7 @@
     Deployment deployment(plan);
     BOOST_REQUIRE(deployment.start());
     const auto start = [&](bool stream) {
-        HttpCall call;
+        HttpClientCall call;
         call.m_method = "POST";
         call.m_url = "http://" + deployment.process("entry-dc-a-0").m_main.toString()
                      + "/v1/chat/completions";
--- a/tests/public/processes/test_wholeanswers.cpp
+++ b/tests/public/processes/test_wholeanswers.cpp
@@ -72,7 +72,7 @@
     plan.m_tokenMicroseconds = 20000;
     Deployment deployment(plan);
     BOOST_REQUIRE(deployment.start());
-    HttpCall call;
+    HttpClientCall call;
     call.m_method = "POST";
     call.m_url =
         "http://" + deployment.process("entry-dc-a-0").m_main.toString() + "/v1/chat/completions";
