Let a change of the configuration wait for late reports of data centres

Cause: the acceptor asked once whether a quorum of data centres had reported within the freshness window and refused the change if not. On busy machines reports are late for a moment. Change: it asks again for up to three seconds, within the change's deadline. Nothing is written meanwhile, and a write is still conditional on the version. A process that is really cut off refuses three seconds later than before.

--- a/src/burdockhead/configuration/configurationacceptor.cpp
+++ b/src/burdockhead/configuration/configurationacceptor.cpp
@@ -9,6 +9,9 @@
 
 constexpr Seconds platformCallTimeout(2);
 constexpr Milliseconds readBackDelay(100);
+// How long a change waits for a quorum of data centres to report, which busy processes do late.
+constexpr Milliseconds quorumReportTimeout(3000);
+constexpr Milliseconds quorumPollInterval(50);
 
 } // namespace
 
@@ -46,7 +49,7 @@
 {
     const TimePoint callDeadline = std::min(deadline, Clock::now() + platformCallTimeout);
     if (acceptance.step() == AcceptanceStep::Read)
-        readObject(acceptance, callDeadline);
+        readObject(acceptance, callDeadline, deadline);
     else if (acceptance.step() == AcceptanceStep::Write)
         writeObject(acceptance, callDeadline);
     else if (m_distribution.waitForQuorum(acceptance.version(), deadline))
@@ -55,17 +58,29 @@
         acceptance.onDeadline();
 }
 
-void ConfigurationAcceptor::readObject(Acceptance &acceptance, TimePoint deadline)
+void ConfigurationAcceptor::readObject(Acceptance &acceptance, TimePoint callDeadline,
+                                       TimePoint deadline)
 {
     const ReadAnswer reply =
-        m_platform.read(configurationObjectKind, configurationObjectName, deadline);
+        m_platform.read(configurationObjectKind, configurationObjectName, callDeadline);
     if (reply.m_object)
         m_distribution.onPlatformObject(*reply.m_object);
-    acceptance.onRead(reply, m_distribution.isQuorumReachable());
+    acceptance.onRead(reply, reply.m_answered && waitForReachableQuorum(deadline));
     if (acceptance.step() == AcceptanceStep::Read)
         std::this_thread::sleep_for(readBackDelay);
 }
 
+bool ConfigurationAcceptor::waitForReachableQuorum(TimePoint deadline)
+{
+    const TimePoint reportsDueAt = std::min(deadline, Clock::now() + quorumReportTimeout);
+    while (!m_distribution.isQuorumReachable()) {
+        if (Clock::now() >= reportsDueAt)
+            return false;
+        std::this_thread::sleep_for(quorumPollInterval);
+    }
+    return true;
+}
+
 void ConfigurationAcceptor::writeObject(Acceptance &acceptance, TimePoint deadline)
 {
     PlatformObject object = acceptance.updatedObject();
--- a/src/burdockhead/configuration/configurationacceptor.h
+++ b/src/burdockhead/configuration/configurationacceptor.h
@@ -21,7 +21,8 @@
 
 private:
     void takeStep(Acceptance &acceptance, TimePoint deadline);
-    void readObject(Acceptance &acceptance, TimePoint deadline);
+    void readObject(Acceptance &acceptance, TimePoint callDeadline, TimePoint deadline);
+    bool waitForReachableQuorum(TimePoint deadline);
     void writeObject(Acceptance &acceptance, TimePoint deadline);
 
     ObjectApi &m_platform;
