Synchronize tables of members also when only some peers differ

The tables at that time: both entries of one data centre lacked the agent, the four others had it, all were alive. Cause: records are passed on a limited number of times, and messages that time out count. What is lost that way is to be repaired by comparing tables, after three replies in a row that differ. Entries ask one of their own data centre about every other time; if that one lacks the same record, it agrees and the count starts over, so that the tables stay apart for ever. Callers would have seen fewer endpoints used than run. Change: replies that agree don't reset the count. Test: test_membershipnode plays it in virtual time; before, two of six entries knew the agent after 30 s.

--- a/src/burdockhead/membership/membershipnode.h
+++ b/src/burdockhead/membership/membershipnode.h
@@ -152,7 +152,7 @@
     std::vector<ProcessName> m_watchers;
     std::map<DataCentreName, std::size_t> m_nextEntryIndex; // Round-robin position in each.
     std::size_t m_roundNumber = 0;
-    std::size_t m_consecutiveMismatches = 0;
+    std::size_t m_mismatches = 0; // Replies with another table since the last synchronization.
     TimePoint m_nextRoundAt;
     TimePoint m_nextAgentCheckAt;
 };
--- a/src/burdockhead/membership/membershipnodemessages.cpp
+++ b/src/burdockhead/membership/membershipnodemessages.cpp
@@ -286,12 +286,14 @@
         if (reply.m_bucketHashes[index] != localHashes[index])
             sync.m_buckets.push_back(index);
     }
-    m_consecutiveMismatches = sync.m_buckets.empty() ? 0 : m_consecutiveMismatches + 1;
+    if (sync.m_buckets.empty())
+        return;
+    // Not reset by peers whose tables agree: those of one data centre may all lack the same record.
+    ++m_mismatches;
     const bool hasJustStarted = m_table.size() <= smallTableSize;
-    if (sync.m_buckets.empty()
-        || (m_consecutiveMismatches < mismatchesBeforeSync && !hasJustStarted))
+    if (m_mismatches < mismatchesBeforeSync && !hasJustStarted)
         return;
-    m_consecutiveMismatches = 0;
+    m_mismatches = 0;
     for (const std::uint64_t bucket : sync.m_buckets) {
         for (const MemberRecord *record : m_table.bucket(bucket))
             sync.m_records.push_back(*record);
