Close control sockets only when no call uses them

What was seen: test_membership aborted within nng ("pthread_mutex_lock: Invalid argument") in 1 of 100 runs beside load, and before stops could be abandoned nng_close never returned in 4 of 110. An entry or agent could have crashed or hung as it stopped. Cause, from the code and the library's interface: sockets were closed to make their calls fail, so contexts were being closed, or used by a thread that had just begun an operation, while their socket went. Change: calls are cancelled and awaited first, then sockets are closed; the same for the contexts that receive. The limit for a close that hangs stays. No test provokes the abort at will. The test's ports are the free ones that other tests use too.

--- a/src/burdockhead/membership/controltransport.cpp
+++ b/src/burdockhead/membership/controltransport.cpp
@@ -11,8 +11,10 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace burdockhead {
@@ -87,29 +89,42 @@
     }
 };
 
-// Counts open calls, so that close() can wait until there are none.
-struct OpenCalls
-{
-    std::mutex m_mutex;
-    std::condition_variable m_callEnded;
-    std::size_t m_count = 0;
+struct Call;
 
-    void add()
+// The calls in progress. Its mutex is held while the library takes over an operation of a call, so
+// that a call that has left the registry, and with it the context, isn't in use anywhere: contexts
+// that go while their socket is being closed make the library (1.5.2) hang or abort. Recursive,
+// since the library may report an operation's end on the thread that began it.
+class CallRegistry
+{
+public:
+    // Begins the next operation of a call that is registered then. Returns false after
+    // cancelAll().
+    bool begin(Call &call, const std::function<void()> &operation)
     {
         const std::lock_guard lock(m_mutex);
-        ++m_count;
+        if (m_isCancelled)
+            return false;
+        m_calls.insert(&call);
+        operation();
+        return true;
     }
-    void remove()
+
+    void remove(Call &call)
     {
         const std::lock_guard lock(m_mutex);
-        --m_count;
-        m_callEnded.notify_all();
-    }
-    void waitForNone()
-    {
-        std::unique_lock lock(m_mutex);
-        m_callEnded.wait(lock, [this] { return m_count == 0; });
+        m_calls.erase(&call);
+        m_callRemoved.notify_all();
     }
+
+    // Cancels all calls and waits until they have ended.
+    void cancelAll();
+
+private:
+    std::recursive_mutex m_mutex;
+    std::condition_variable_any m_callRemoved;
+    std::set<Call *> m_calls;
+    bool m_isCancelled = false;
 };
 
 // One outgoing message and its reply. Deletes itself when it ends.
@@ -122,13 +137,22 @@
     bool m_isSent = false;
     ControlCompletion m_completion;
     TrafficCounters *m_traffic = nullptr;
-    OpenCalls *m_openCalls = nullptr;
+    CallRegistry *m_calls = nullptr;
 
     void onAioCompleted();
     void startReceive();
     void finish(std::optional<std::string> reply);
 };
 
+void CallRegistry::cancelAll()
+{
+    std::unique_lock lock(m_mutex);
+    m_isCancelled = true;
+    for (Call *call : m_calls)
+        nng_aio_cancel(call->m_aio);
+    m_callRemoved.wait(lock, [this] { return m_calls.empty(); });
+}
+
 void Call::onAioCompleted()
 {
     if (nng_aio_result(m_aio) != 0) {
@@ -141,7 +165,8 @@
     }
     if (!m_isSent) {
         m_isSent = true;
-        startReceive();
+        if (!m_calls->begin(*this, [this] { startReceive(); }))
+            finish(std::nullopt);
         return;
     }
     nng_msg *message = nng_aio_get_msg(m_aio);
@@ -159,8 +184,8 @@
     nng_ctx_recv(m_context, m_aio);
 }
 
-// The completion runs before the call is removed from the open calls, so that close() waits for
-// it.
+// The completion runs before the call leaves the registry, so that close() waits for it, and the
+// connection is released after, since it may be closed then.
 void Call::finish(std::optional<std::string> reply)
 {
     if (!reply) {
@@ -170,13 +195,10 @@
     m_completion(std::move(reply));
     nng_ctx_close(m_context);
     nng_aio_reap(m_aio);
-    // The transport owns the connection until no call uses it, so this never closes it.
-    PeerConnection *connection = m_connection.get();
-    m_connection.reset();
+    const std::shared_ptr<PeerConnection> connection = std::move(m_connection);
+    m_calls->remove(*this);
     --connection->m_callCount;
-    OpenCalls *openCalls = m_openCalls;
     delete this;
-    openCalls->remove();
 }
 
 // Handles incoming messages one at a time: receives, replies, receives again.
@@ -236,7 +258,7 @@
 {
     ControlDispatcher m_dispatcher;
     TrafficCounters m_traffic;
-    OpenCalls m_openCalls;
+    CallRegistry m_calls;
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     bool m_isListening = false;
     std::vector<std::unique_ptr<Worker>> m_workers;
@@ -333,8 +355,7 @@
     call->m_deadline = deadline;
     call->m_completion = std::move(completion);
     call->m_traffic = &m_d->m_traffic;
-    call->m_openCalls = &m_d->m_openCalls;
-    m_d->m_openCalls.add();
+    call->m_calls = &m_d->m_calls;
     const auto onAioCompleted = [](void *context) {
         static_cast<Call *>(context)->onAioCompleted();
     };
@@ -346,10 +367,14 @@
     MessageWriter writer;
     const std::string bytes = writer.number(type).text(payload).take();
     m_d->m_traffic.countSent(bytes.size());
-    const auto remaining = millisecondsUntil(deadline, Clock::now());
-    nng_aio_set_timeout(call->m_aio, static_cast<nng_duration>(remaining + 1));
-    nng_aio_set_msg(call->m_aio, makeMessage(bytes));
-    nng_ctx_send(call->m_context, call->m_aio);
+    const auto sendMessage = [&] {
+        const auto remaining = millisecondsUntil(deadline, Clock::now());
+        nng_aio_set_timeout(call->m_aio, static_cast<nng_duration>(remaining + 1));
+        nng_aio_set_msg(call->m_aio, makeMessage(bytes));
+        nng_ctx_send(call->m_context, call->m_aio);
+    };
+    if (!m_d->m_calls.begin(*call, sendMessage))
+        call->finish(std::nullopt);
 }
 
 void ControlTransport::closeFailedConnections()
@@ -376,12 +401,19 @@
         m_d->m_isClosed = true;
         connections.swap(m_d->m_connections);
     }
+    // No context may be in use, or be closed, while its socket is being closed.
+    m_d->m_calls.cancelAll();
+    for (const auto &worker : m_d->m_workers) {
+        nng_aio_stop(worker->m_aio);
+        nng_ctx_close(worker->m_context);
+        nng_aio_free(worker->m_aio);
+    }
+    m_d->m_workers.clear();
     std::vector<AbandonableTask> closings;
     for (const auto &[url, connection] : connections) {
         connection->m_isClosing = true;
         closings.push_back(closeSocket(connection->m_socket));
     }
-    m_d->m_openCalls.waitForNone();
     if (m_d->m_isListening)
         closings.push_back(closeSocket(m_d->m_socket));
     const TimePoint deadline = Clock::now() + closeTimeout;
@@ -390,11 +422,6 @@
                       [&](const AbandonableTask &closing) { return !closing.waitUntil(deadline); });
     if (abandoned > 0)
         logWarning("control_sockets_abandoned", {{"sockets", abandoned}});
-    for (const auto &worker : m_d->m_workers) {
-        nng_aio_stop(worker->m_aio);
-        nng_aio_free(worker->m_aio);
-    }
-    m_d->m_workers.clear();
 }
 
 MembershipCounters ControlTransport::counters() const
--- a/tests/internal/membership/test_membershipservice.cpp
+++ b/tests/internal/membership/test_membershipservice.cpp
@@ -7,7 +7,6 @@
 #include <freeport.h>
 #include <platformstandin.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace burdockhead;
 
@@ -28,12 +27,6 @@
     return false;
 }
 
-// Below the range of ephemeral ports, so that a port stays free until its service starts.
-SocketAddress controlAddress(std::size_t index)
-{
-    return {"127.0.0.1", static_cast<std::uint16_t>(20000 + getpid() % 1000 * 10 + index)};
-}
-
 // Three data centres with two entries each, and a platform stand-in.
 struct Deployment
 {
@@ -54,7 +47,7 @@
         for (const char *dataCentre : {"a", "b", "c"}) {
             for (const char *number : {"1", "2"})
                 m_vms.push_back({ProcessName(std::string(dataCentre) + number), VmRole::Entry,
-                                 DataCentreName(dataCentre), controlAddress(m_vms.size()), false});
+                                 DataCentreName(dataCentre), freeLoopbackAddress(), false});
         }
         for (const Vm &vm : m_vms)
             m_entries.push_back(startEntry(vm));
@@ -125,7 +118,8 @@
 BOOST_AUTO_TEST_CASE(an_agent_is_announced_and_removed_after_it_stops)
 {
     Deployment deployment;
-    Vm vm{ProcessName("agent"), VmRole::Endpoint, DataCentreName("b"), controlAddress(6), false};
+    Vm vm{ProcessName("agent"), VmRole::Endpoint, DataCentreName("b"), freeLoopbackAddress(),
+          false};
     MembershipOptions options = deployment.optionsFor(vm);
     options.m_announcement =
         ReplicaAnnouncement{EndpointName("rank"), vm.m_dataCentre, freeLoopbackAddress(),
