Let the soak run rank agents, entries and agents, and check more promises

Two worlds beside that of the gateways: ranks (agents killed, stopped, paused; orders lost, late, doubled; the demand shifts all the time) and entries (entries and agents killed, stopped, paused; a platform that refuses, loses answers or comes back from a copy; engines that turn cold).

--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -49,7 +49,7 @@
 Deployment::~Deployment()
 {
     m_processes.clear();
-    if (std::getenv("BURDOCKHEAD_KEEP_LOGS") == nullptr)
+    if (!m_keepsFolder && std::getenv("BURDOCKHEAD_KEEP_LOGS") == nullptr)
         std::filesystem::remove_all(m_folder);
 }
 
--- a/tests/public/processes/deployment.h
+++ b/tests/public/processes/deployment.h
@@ -76,6 +76,10 @@
 
     HttpClient &http() { return m_http; }
 
+    // Settings and logs of the processes; removed at the end unless they are to be kept.
+    const std::string &folder() const { return m_folder; }
+    void keepFolder() { m_keepsFolder = true; }
+
 private:
     void addStandins(const std::string &dataCentre);
     void addAgent(const std::string &endpoint, const SocketAddress &url,
@@ -89,6 +93,7 @@
 
     DeploymentPlan m_plan;
     std::string m_folder;
+    bool m_keepsFolder = false;
     SocketAddress m_platform;
     std::map<std::string, DeployedProcess> m_processes;
     HttpClient m_http;
--- a/tests/public/processes/test_atmostonceprocesses.cpp
+++ b/tests/public/processes/test_atmostonceprocesses.cpp
@@ -168,6 +168,29 @@
     BOOST_TEST(runsOf(deployment, "key-platform") == 1U);
 }
 
+// The entry that bound the key writes it again; until then another one must not bind it anew.
+BOOST_AUTO_TEST_CASE(a_key_that_the_platform_has_lost_in_a_restore_runs_once)
+{
+    Deployment deployment({});
+    BOOST_REQUIRE(deployment.start());
+    deployment.post("platform", "/faults", {{"take_copy", true}});
+    const auto answer = deployment.signOff("entry-dc-a-0", "key-restore", "approve 15");
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->m_status == 200);
+    deployment.post("platform", "/faults", {{"restore_copy", true}});
+    for (const std::string entry : {"entry-dc-b-0", "entry-dc-c-0"}) {
+        std::optional<HttpResponse> again;
+        // An entry refuses for three seconds after it has noticed the restore.
+        for (int count = 0; count < 20 && (!again || again->m_status != 200); ++count) {
+            again = deployment.signOff(entry, "key-restore", "approve 15");
+            BOOST_TEST(runsOf(deployment, "key-restore") == 1U);
+            std::this_thread::sleep_for(Milliseconds(250));
+        }
+        BOOST_REQUIRE(again.has_value());
+        BOOST_TEST(again->m_body == answer->m_body);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_ticket_works_through_an_outage_of_the_platform_and_a_key_says_not_run)
 {
     Deployment deployment({});
--- a/tests/public/processes/test_leavingprocesses.cpp
+++ b/tests/public/processes/test_leavingprocesses.cpp
@@ -75,6 +75,26 @@
     checkAllWhole(load.stop());
 }
 
+// The copy has the configuration from before; also an entry that starts then knows better.
+BOOST_AUTO_TEST_CASE(a_data_centre_taken_out_stays_out_when_the_platform_comes_back_from_a_copy)
+{
+    Deployment deployment(roomyPlan());
+    BOOST_REQUIRE(deployment.start());
+    deployment.post("platform", "/faults", {{"take_copy", true}});
+    CallerLoad load(deployment, deployment.names("entry-"), 9, 80);
+    BOOST_REQUIRE(deployment.setTakenOut("entry-dc-a-0", "dc-b", true));
+    std::this_thread::sleep_for(graceTime);
+    deployment.post("platform", "/faults", {{"restore_copy", true}});
+    deployment.child("entry-dc-c-0").kill();
+    deployment.restart("entry-dc-c-0");
+    deployment.post("engine-dc-b-0", "/mark", {});
+    std::this_thread::sleep_for(graceTime);
+    const std::uint64_t before = load.whole();
+    BOOST_TEST(waitUntil([&] { return load.whole() >= before + 60; }));
+    BOOST_TEST(workAfterMark(deployment, "engine-dc-b") == 0U);
+    BOOST_TEST(load.stop().m_wrong == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_of_an_agent_cuts_off_no_request_and_gets_no_new_work)
 {
     Deployment deployment(roomyPlan());
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,9 @@
+#include "entryworld.h"
+#include "rankworld.h"
 #include "soakworld.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <iostream>
 #include <optional>
@@ -20,61 +24,148 @@
 constexpr std::uint64_t restoreSeedDivisor = 4;
 constexpr Milliseconds restoreCalm{10000};
 
-std::optional<std::uint64_t> flag(int count, char **arguments, const std::string &name)
+// Ranks settle after all faults, and the map has to follow a last shift of the demand.
+constexpr Milliseconds rankCalm{10000};
+
+// Entries and agents find one another, and cold engines warm up.
+constexpr Milliseconds entryCalm{12000};
+
+struct SoakOptions
+{
+    std::uint64_t m_seed = 1;
+    Milliseconds m_span{0};
+    std::size_t m_size = 0; // Number of gateways, of ranks, or of endpoints in a data centre.
+    std::filesystem::path m_folder;
+};
+
+struct SoakResult
+{
+    std::vector<Fault> m_faults;
+    std::vector<std::string> m_violations;
+    std::filesystem::path m_folder; // Settings and logs.
+};
+
+std::optional<std::string_view> flag(const std::vector<std::string_view> &arguments,
+                                     std::string_view name)
 {
-    for (int index = 1; index < count; ++index) {
-        const std::string_view argument = arguments[index];
-        if (!argument.starts_with(name))
-            continue;
-        std::uint64_t value = 0;
-        const auto digits = argument.substr(name.size());
-        if (std::from_chars(digits.data(), digits.data() + digits.size(), value).ec == std::errc())
-            return value;
+    for (const std::string_view argument : arguments) {
+        if (argument.starts_with(name))
+            return argument.substr(name.size());
     }
     return std::nullopt;
 }
 
+std::uint64_t numberFlag(const std::vector<std::string_view> &arguments, std::string_view name,
+                         std::uint64_t fallback)
+{
+    const std::string_view digits = flag(arguments, name).value_or("");
+    std::uint64_t value = fallback;
+    std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return value;
+}
+
+SoakResult soakGateways(const SoakOptions &options)
+{
+    SoakResult result;
+    result.m_folder = options.m_folder;
+    result.m_faults =
+        planSoak(options.m_seed, faultTypes(FaultType::KillGateway, FaultType::RevokeCredential),
+                 options.m_span, calm);
+    SoakWorld world(options.m_seed, options.m_size, options.m_folder);
+    if (options.m_seed % fatalSeedDivisor == 0)
+        world.sendFatalPart();
+    // What a restore may have lost is held for some time after a gateway has noticed it.
+    const bool isRestored = options.m_seed % restoreSeedDivisor == 0;
+    const Milliseconds wholeSpan = options.m_span + (isRestored ? restoreCalm : Milliseconds(0));
+    if (isRestored)
+        world.restoreStore();
+    world.run(result.m_faults, wholeSpan);
+    result.m_violations = world.book().violations();
+    for (const std::string &end : world.unexpectedEnds())
+        result.m_violations.push_back(end);
+    const double served =
+        world.book().servedSince(world.startedAt() + wholeSpan - judged, world.credential());
+    if (served < leastServed)
+        result.m_violations.push_back("after the last fault only " + std::to_string(served)
+                                      + " of the requests were served");
+    std::cout << world.book().requests() << " requests, " << world.book().served() << " served, "
+              << world.book().fatalCrashes() << " crashes on a part, at the end " << served;
+    return result;
+}
+
+SoakResult soakRanks(const SoakOptions &options)
+{
+    SoakResult result;
+    result.m_folder = options.m_folder;
+    result.m_faults = planSoak(options.m_seed, RankWorld::faultTypes(), options.m_span, rankCalm);
+    RankWorld world(options.m_seed, options.m_size, options.m_folder);
+    world.run(result.m_faults, options.m_span, rankCalm);
+    result.m_violations = world.violations();
+    std::cout << world.steps() << " steps, " << world.mapChanges() << " changes of the map";
+    return result;
+}
+
+SoakResult soakEntries(const SoakOptions &options)
+{
+    SoakResult result;
+    const bool isRestored = options.m_seed % restoreSeedDivisor == 0;
+    result.m_faults =
+        planSoak(options.m_seed, EntryWorld::faultTypes(isRestored), options.m_span, entryCalm);
+    EntryWorld world(options.m_seed, static_cast<unsigned>(options.m_size));
+    result.m_folder = world.folder();
+    world.run(result.m_faults, options.m_span, leastServed);
+    result.m_violations = world.violations();
+    std::cout << world.requests() << " requests, at the end " << world.servedAtEnd();
+    return result;
+}
+
+// A world that the soak can run: its name, the flag of its size with its default, and its length.
+struct World
+{
+    const char *m_name;
+    const char *m_sizeFlag;
+    std::size_t m_size;
+    std::uint64_t m_seconds;
+    SoakResult (*m_run)(const SoakOptions &);
+};
+
+constexpr std::array worlds = {World{"gateways", "--gateways=", 3, 20, soakGateways},
+                               World{"ranks", "--ranks=", 10, 25, soakRanks},
+                               World{"entries", "--endpoints=", 1, 25, soakEntries}};
+
 } // namespace
 
 int main(int count, char **arguments)
 {
-    const std::uint64_t seed = flag(count, arguments, "--seed=").value_or(1);
-    const Milliseconds span = Seconds(flag(count, arguments, "--seconds=").value_or(20));
-    const std::size_t gateways = flag(count, arguments, "--gateways=").value_or(3);
-    const auto folder = std::filesystem::temp_directory_path()
-                        / ("soak-" + std::to_string(seed) + "-" + std::to_string(getpid()));
-    const std::vector<Fault> faults = planSoak(seed, span, calm);
-    std::vector<std::string> violations;
-    {
-        SoakWorld world(seed, gateways, folder);
-        if (seed % fatalSeedDivisor == 0)
-            world.sendFatalPart();
-        // What a restore may have lost is held for some time after a gateway has noticed it.
-        const bool isRestored = seed % restoreSeedDivisor == 0;
-        const Milliseconds wholeSpan = span + (isRestored ? restoreCalm : Milliseconds(0));
-        if (isRestored)
-            world.restoreStore();
-        world.run(faults, wholeSpan);
-        violations = world.book().violations();
-        const double served =
-            world.book().servedSince(world.startedAt() + wholeSpan - judged, world.credential());
-        if (served < leastServed)
-            violations.push_back("after the last fault only " + std::to_string(served)
-                                 + " of the requests were served");
-        std::cout << "seed " << seed << ": " << faults.size() << " faults, "
-                  << world.book().requests() << " requests, " << world.book().served()
-                  << " served, " << world.book().fatalCrashes() << " crashes on a part, at the end "
-                  << served << ", " << violations.size() << " promises broken\n";
+    const std::vector<std::string_view> flags(arguments + 1, arguments + count);
+    const std::string_view name = flag(flags, "--world=").value_or(worlds.front().m_name);
+    const auto *const world = std::find_if(worlds.begin(), worlds.end(),
+                                           [&](const World &item) { return item.m_name == name; });
+    if (world == worlds.end()) {
+        std::cerr << "there is no world " << name << "\n";
+        return 2;
     }
-    if (violations.empty()) {
-        std::filesystem::remove_all(folder);
+    SoakOptions options;
+    options.m_seed = numberFlag(flags, "--seed=", 1);
+    options.m_span = Seconds(numberFlag(flags, "--seconds=", world->m_seconds));
+    options.m_size = numberFlag(flags, world->m_sizeFlag, world->m_size);
+    options.m_folder =
+        std::filesystem::temp_directory_path()
+        / ("soak-" + std::to_string(options.m_seed) + "-" + std::to_string(getpid()));
+    std::cout << name << ", seed " << options.m_seed << ": ";
+    const SoakResult result = world->m_run(options);
+    std::cout << ", " << result.m_faults.size() << " faults, " << result.m_violations.size()
+              << " promises broken\n";
+    if (result.m_violations.empty()) {
+        std::filesystem::remove_all(result.m_folder);
         return 0;
     }
-    for (const Fault &fault : faults)
+    for (const Fault &fault : result.m_faults)
         std::cout << "  " << fault.toString() << "\n";
-    for (const std::string &violation : violations)
+    for (const std::string &violation : result.m_violations)
         std::cout << "  broken: " << violation << "\n";
-    std::cout << "logs are in " << folder << "; again: build/soak --seed=" << seed
-              << " --seconds=" << span.count() / 1000 << " --gateways=" << gateways << "\n";
+    std::cout << "logs are in " << result.m_folder << "; again: build/soak --world=" << name
+              << " --seed=" << options.m_seed << " --seconds=" << options.m_span.count() / 1000
+              << " " << world->m_sizeFlag << options.m_size << "\n";
     return 1;
 }
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -27,12 +27,32 @@
     TakeOut, // Its data centre.
     ChangeConfiguration,
     RevokeCredential,
+    KillRankAgent,
+    StopRankAgent,
+    PauseRankAgent,
+    LoseOrders, // A part of the orders to ranks: never carried out, late, or twice.
+    DelayOrders,
+    DoubleOrders,
+    ShiftDemand, // For experts; it isn't undone.
+    KillEntry,
+    StopEntry,
+    PauseEntry,
+    KillEndpointAgent,
+    StopEndpointAgent,
+    PauseEndpointAgent,
+    StopPlatform, // It refuses all calls.
+    LosePlatformAnswers,
+    RestorePlatform, // It comes back from a copy taken when the fault began.
+    TurnCold,        // An engine.
+    SlowService,
+    LoseServiceAnswer,
 };
 
-constexpr int faultTypes = static_cast<int>(FaultType::RevokeCredential) + 1;
-
 const char *toString(FaultType type);
 
+// Returns the types from the first to the last.
+std::vector<FaultType> faultTypes(FaultType first, FaultType last);
+
 // One fault: when it begins and ends, from the start of the soak, and on which of the things
 // that fit.
 struct Fault
@@ -47,6 +67,7 @@
 
 // The faults of a seed, in the order of their begin; they come in series and overlap. None
 // begins in the last `calm` of the span.
-std::vector<Fault> planSoak(std::uint64_t seed, Milliseconds span, Milliseconds calm);
+std::vector<Fault> planSoak(std::uint64_t seed, const std::vector<FaultType> &types,
+                            Milliseconds span, Milliseconds calm);
 
 } // namespace burdockhead::test
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -4,9 +4,10 @@
 #include <burdockhead/http/httprequest.h>
 #include <burdockhead/net/httpwriting.h>
 
+#include <algorithm>
 #include <array>
-#include <csignal>
 #include <fstream>
+#include <utility>
 
 namespace burdockhead::test {
 
@@ -28,6 +29,16 @@
     Misbehaviour::Foreign,  Misbehaviour::Fail,       Misbehaviour::Hang,
     Misbehaviour::SkipEvent};
 
+// Gateways have to know within the first that an endpoint has left or a data centre is out; the
+// second is how late they may notice that the store works again.
+constexpr Milliseconds knowingTime{2000};
+constexpr Milliseconds regainTime{1000};
+
+bool isAtStore(FaultType type)
+{
+    return type >= FaultType::SilenceStore && type <= FaultType::CutStore;
+}
+
 std::string configuration(int version, const std::string &credential)
 {
     const auto route = [](const char *name, const char *prefix, const char *rest) {
@@ -129,81 +140,86 @@
         gateway.m_clients = freeLoopbackAddress();
         gateway.m_peers = freeLoopbackAddress();
     }
-    for (std::size_t number = 0; number < m_gateways.size(); ++number) {
-        writeSettings(m_gateways[number], number);
-        startGateway(m_gateways[number]);
-    }
+    for (std::size_t number = 0; number < m_gateways.size(); ++number)
+        startGateway(number);
 }
 
 SoakWorld::~SoakWorld() = default;
 
-void SoakWorld::writeSettings(Gateway &gateway, std::size_t number)
+void SoakWorld::startGateway(std::size_t number)
 {
+    Gateway &gateway = m_gateways[number];
     const std::string name = "g" + std::to_string(number);
-    gateway.m_settings = m_folder / (name + ".ini");
-    gateway.m_log = m_folder / (name + ".log");
-    std::ofstream(gateway.m_settings)
-        << "[process]\nname = " << name
-        << "\ndata_centre = a\n[listen]\nclients = " << gateway.m_clients.toString()
-        << "\nreadiness = " << freeLoopbackAddress().toString()
-        << "\ndirectory = " << freeLoopbackAddress().toString()
-        << "\npeers = " << gateway.m_peers.toString()
-        << "\nmetrics = " << freeLoopbackAddress().toString()
-        << "\n[store]\naddress = " << m_storeProxy.address().toString()
-        << "\n[seeds]\npeers = " << m_gateways.front().m_peers.toString()
-        << "\n[bounds]\nstop_grace_s = 5\n";
-}
-
-void SoakWorld::startGateway(Gateway &gateway)
-{
-    gateway.m_process = std::make_unique<ChildProcess>(
+    const std::string settings = m_folder / (name + ".ini");
+    std::ofstream(settings) << "[process]\nname = " << name
+                            << "\ndata_centre = a\n[listen]\nclients = "
+                            << gateway.m_clients.toString()
+                            << "\nreadiness = " << freeLoopbackAddress().toString()
+                            << "\ndirectory = " << freeLoopbackAddress().toString()
+                            << "\npeers = " << gateway.m_peers.toString()
+                            << "\nmetrics = " << freeLoopbackAddress().toString()
+                            << "\n[store]\naddress = " << m_storeProxy.address().toString()
+                            << "\n[seeds]\npeers = " << m_gateways.front().m_peers.toString()
+                            << "\n[bounds]\nstop_grace_s = 5\n";
+    gateway.m_process = std::make_unique<SupervisedProcess>(
         std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
-                                 "--settings=" + gateway.m_settings},
-        gateway.m_log);
-    gateway.m_isDown = false;
-    gateway.m_disturbedAt = Clock::now();
+                                 "--settings=" + settings},
+        m_folder / (name + ".log"));
 }
 
 // The entry names the proxy's address, and the registered id stays when the endpoint behind the
 // address is replaced.
-void SoakWorld::registerEndpoint(const Endpoint &endpoint, const std::string &state)
+void SoakWorld::registerEndpoint(Endpoint &endpoint, const std::string &state)
 {
+    if (state == "ready")
+        endpoint.m_leftAt.reset();
+    else
+        endpoint.m_leftAt = endpoint.m_leftAt.value_or(Clock::now());
     std::string entry = endpoint.m_standIn->entry(state);
     const std::string own = endpoint.m_standIn->address().toString();
     entry.replace(entry.find(own), own.size(), endpoint.m_proxy->address().toString());
     m_store.put("servers", endpoint.m_id, entry);
 }
 
+void SoakWorld::takeOut()
+{
+    m_outSince = m_outSince.value_or(Clock::now());
+    m_hasWrittenTakeOut = true;
+    m_store.put("evacuations", "a", "{}");
+}
+
+void SoakWorld::bringBack()
+{
+    m_outSince.reset();
+    m_store.remove("evacuations", "a");
+}
+
 void SoakWorld::putConfiguration()
 {
     m_store.put("config", "main", configuration(m_version, m_credential));
 }
 
-void SoakWorld::beginAtGateway(const Fault &fault, Gateway &gateway)
+void SoakWorld::beginAtGateway(const Fault &fault, SupervisedProcess &gateway)
 {
-    if (gateway.m_isDown || gateway.m_isPaused || !gateway.m_process->running())
-        return;
-    gateway.m_disturbedAt = Clock::now();
     switch (fault.m_type) {
     case FaultType::KillGateway:
-        gateway.m_process->kill();
-        gateway.m_isDown = true;
+        gateway.kill();
         break;
     case FaultType::StopGateway:
-        gateway.m_process->signal(SIGTERM);
+        gateway.terminate();
         break;
     case FaultType::PauseGateway:
-        gateway.m_process->signal(SIGSTOP);
-        gateway.m_isPaused = true;
+        gateway.pause();
         break;
     default:
-        gateway.m_process->signal(SIGHUP);
+        gateway.reload();
         break;
     }
 }
 
 void SoakWorld::beginAtStore(const Fault &fault)
 {
+    ++m_storeFaults;
     switch (fault.m_type) {
     case FaultType::SilenceStore:
         m_store.setSilent(true);
@@ -248,15 +264,14 @@
 {
     m_lastFaultAt = Clock::now();
     if (fault.m_type <= FaultType::ReloadGateway) {
-        beginAtGateway(fault, m_gateways[fault.m_which % m_gateways.size()]);
-    } else if (fault.m_type <= FaultType::CutStore) {
+        beginAtGateway(fault, *m_gateways[fault.m_which % m_gateways.size()].m_process);
+    } else if (isAtStore(fault.m_type)) {
         beginAtStore(fault);
     } else if (fault.m_type <= FaultType::LeaveEndpoint) {
         beginAtEndpoint(fault, m_endpoints[fault.m_which % m_endpoints.size()]);
     } else if (fault.m_type == FaultType::TakeOut) {
         ++m_takenOut;
-        m_hasWrittenTakeOut = true;
-        m_store.put("evacuations", "a", "{}");
+        takeOut();
     } else {
         m_version += 2;
         if (fault.m_type == FaultType::RevokeCredential) {
@@ -270,16 +285,18 @@
 void SoakWorld::end(const Fault &fault)
 {
     m_lastFaultAt = Clock::now();
-    Gateway &gateway = m_gateways[fault.m_which % m_gateways.size()];
+    if (isAtStore(fault.m_type)) {
+        --m_storeFaults;
+        m_storeWorksSince = Clock::now();
+    }
+    SupervisedProcess &gateway = *m_gateways[fault.m_which % m_gateways.size()].m_process;
     Endpoint &endpoint = m_endpoints[fault.m_which % m_endpoints.size()];
     switch (fault.m_type) {
     case FaultType::KillGateway:
-        gateway.m_isDown = false;
+        gateway.revive();
         break;
     case FaultType::PauseGateway:
-        gateway.m_process->signal(SIGCONT);
-        gateway.m_isPaused = false;
-        gateway.m_disturbedAt = Clock::now();
+        gateway.resume();
         break;
     case FaultType::SilenceStore:
         m_store.setSilent(false);
@@ -311,7 +328,7 @@
         break;
     case FaultType::TakeOut:
         --m_takenOut;
-        m_store.remove("evacuations", "a");
+        bringBack();
         break;
     default:
         break;
@@ -352,16 +369,19 @@
         m_store.takeCopy();
         m_hasWrittenTakeOut = false;
     });
-    m_loop.callAt(restoredAt, [this] { m_store.restoreCopy(); });
+    m_loop.callAt(restoredAt, [this] {
+        m_store.restoreCopy();
+        m_storeWorksSince = Clock::now();
+    });
     m_loop.callAt(restoredAt + within(Milliseconds(1500)), [this] {
         m_lastFaultAt = Clock::now();
         putConfiguration();
         if (m_hasWrittenTakeOut)
-            m_store.put("evacuations", "a", "{}");
+            takeOut();
         if (m_takenOut == 0)
-            m_store.remove("evacuations", "a");
+            bringBack();
     });
-    for (const Endpoint &endpoint : m_endpoints) {
+    for (Endpoint &endpoint : m_endpoints) {
         m_loop.callAt(restoredAt + within(Milliseconds(1500)),
                       [this, &endpoint] { registerEndpoint(endpoint, "ready"); });
     }
@@ -371,9 +391,11 @@
 {
     if (!m_isCalling)
         return;
-    const Gateway &gateway = m_gateways[m_random() % m_gateways.size()];
+    const std::size_t number = m_random() % m_gateways.size();
+    const Gateway &gateway = m_gateways[number];
     ClientOutcome outcome;
     outcome.m_id = "r" + std::to_string(++m_lastRequest);
+    m_gatewayOf[outcome.m_id] = number;
     outcome.m_path = paths[m_random() % paths.size()];
     outcome.m_credential = m_random() % 10 == 0 ? m_oldCredential : m_credential;
     outcome.m_sentAt = Clock::now();
@@ -382,7 +404,7 @@
     outcome.m_promptParts = std::string("first:40,") + (isFatal ? fatalPart : "topic")
                             + std::string(":100,") + outcome.m_id + ":10";
     if (isFatal)
-        m_book.noteFatalRequest(outcome.m_id, gateway.m_disturbedAt);
+        m_book.noteFatalRequest(outcome.m_id, gateway.m_process->disturbedAt());
     m_calls.push_back(
         std::make_unique<SoakCall>(m_loop, m_pool, gateway.m_clients, std::move(outcome),
                                    [this](SoakCall &ended) { m_book.note(ended.outcome()); }));
@@ -391,10 +413,8 @@
 
 void SoakWorld::keepGatewaysRunning()
 {
-    for (Gateway &gateway : m_gateways) {
-        if (!gateway.m_isDown && !gateway.m_isPaused && !gateway.m_process->running())
-            startGateway(gateway);
-    }
+    for (const Gateway &gateway : m_gateways)
+        gateway.m_process->keepRunning();
     std::erase_if(m_calls, [](const auto &item) { return item->isOver(); });
     noteRuns();
     m_loop.callAt(Clock::now() + housekeeping, [this] { keepGatewaysRunning(); });
@@ -404,8 +424,32 @@
 {
     for (Endpoint &endpoint : m_endpoints) {
         const auto &ran = endpoint.m_standIn->ran();
-        for (; endpoint.m_runsNoted < ran.size(); ++endpoint.m_runsNoted)
+        for (; endpoint.m_runsNoted < ran.size(); ++endpoint.m_runsNoted) {
+            checkArrival(endpoint, ran[endpoint.m_runsNoted]);
             m_book.noteRun(endpoint.m_id, ran[endpoint.m_runsNoted]);
+        }
+    }
+}
+
+// A gateway that was disturbed since, or had no store, can't know that the endpoint is gone.
+void SoakWorld::checkArrival(const Endpoint &endpoint, const RanRequest &request)
+{
+    const auto sentTo =
+        m_gatewayOf.find(findHeader(request.m_head.m_headers, "X-Request-Id").value_or(""));
+    if (m_storeFaults > 0 || sentTo == m_gatewayOf.end())
+        return;
+    const TimePoint isInTouchSince =
+        std::max(m_storeWorksSince, m_gateways[sentTo->second].m_process->disturbedAt())
+        + regainTime;
+    for (const auto &[since, what] :
+         {std::pair(endpoint.m_leftAt, "had left"),
+          std::pair(m_outSince, "was in a data centre out of service")}) {
+        if (!since || request.m_arrivedAt <= std::max(*since, isInTouchSince) + knowingTime)
+            continue;
+        const auto lateBy =
+            std::chrono::duration_cast<Milliseconds>(request.m_arrivedAt - *since).count();
+        m_book.noteLateArrival(sentTo->first + " reached " + endpoint.m_id + ", which " + what
+                               + " for " + std::to_string(lateBy) + " ms");
     }
 }
 
@@ -432,4 +476,14 @@
         m_book.noteRevoked(m_oldCredential, m_lastFaultAt + inForce, TimePoint::max());
 }
 
+std::vector<std::string> SoakWorld::unexpectedEnds() const
+{
+    std::vector<std::string> ends;
+    for (const Gateway &gateway : m_gateways) {
+        const auto &found = gateway.m_process->unexpectedEnds();
+        ends.insert(ends.end(), found.begin(), found.end());
+    }
+    return ends;
+}
+
 } // namespace burdockhead::test
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -1,14 +1,16 @@
 #pragma once
 
-#include "childprocess.h"
 #include "faultyproxy.h"
 #include "requestbook.h"
 #include "soakplan.h"
 #include "storestandin.h"
+#include "supervisedprocess.h"
 #include <burdockhead/net/httpclientpool.h>
 
 #include <filesystem>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,9 @@
     void run(const std::vector<Fault> &faults, Milliseconds span);
 
     const RequestBook &book() const { return m_book; }
+
+    // Gateways that ended without order, one line each.
+    std::vector<std::string> unexpectedEnds() const;
     TimePoint startedAt() const { return m_startedAt; }
 
     // The credential that is valid at the end.
@@ -44,14 +49,9 @@
 private:
     struct Gateway
     {
-        std::string m_settings;
-        std::string m_log;
         SocketAddress m_clients;
         SocketAddress m_peers;
-        std::unique_ptr<ChildProcess> m_process;
-        bool m_isDown = false; // Killed, and not to be started again yet.
-        bool m_isPaused = false;
-        TimePoint m_disturbedAt; // When it was last started, signalled or woken.
+        std::unique_ptr<SupervisedProcess> m_process;
     };
 
     struct Endpoint
@@ -60,20 +60,23 @@
         std::unique_ptr<FaultyProxy> m_proxy;
         std::size_t m_runsNoted = 0;
         std::string m_id; // Under which it is registered.
+        std::optional<TimePoint> m_leftAt;
     };
 
-    void writeSettings(Gateway &gateway, std::size_t number);
-    void startGateway(Gateway &gateway);
-    void registerEndpoint(const Endpoint &endpoint, const std::string &state);
+    void startGateway(std::size_t number);
+    void registerEndpoint(Endpoint &endpoint, const std::string &state);
+    void takeOut();
+    void bringBack();
     void putConfiguration();
     void begin(const Fault &fault);
     void end(const Fault &fault);
-    void beginAtGateway(const Fault &fault, Gateway &gateway);
+    static void beginAtGateway(const Fault &fault, SupervisedProcess &gateway);
     void beginAtStore(const Fault &fault);
     void beginAtEndpoint(const Fault &fault, Endpoint &endpoint);
     void call();
     void keepGatewaysRunning();
     void noteRuns();
+    void checkArrival(const Endpoint &endpoint, const RanRequest &request);
     void scheduleRestore(Milliseconds span);
 
     EventLoop m_loop;
@@ -95,8 +98,12 @@
     bool m_isCalling = true;
     bool m_sendsFatalPart = false;
     bool m_restoresStore = false;
-    int m_takenOut = 0;               // Faults that hold the data centre out.
-    bool m_hasWrittenTakeOut = false; // Since the store's copy was taken.
+    std::map<std::string, std::size_t> m_gatewayOf; // Of each request.
+    int m_storeFaults = 0;
+    TimePoint m_storeWorksSince;
+    std::optional<TimePoint> m_outSince; // The data centre.
+    int m_takenOut = 0;                  // Faults that hold it out.
+    bool m_hasWrittenTakeOut = false;    // Since the store's copy was taken.
 };
 
 } // namespace burdockhead::test
--- a/tests/standins/fleet/endpointstandin.cpp
+++ b/tests/standins/fleet/endpointstandin.cpp
@@ -102,7 +102,7 @@
         exchange->answer(503, {{"X-Not-Executed", "1"}}, "");
         return;
     }
-    m_ran.push_back({exchange->head(), exchange->body()});
+    m_ran.push_back({exchange->head(), exchange->body(), Clock::now()});
     exchange->onClientGone([this] { ++m_clientsGone; });
     if (m_delay.count() == 0) {
         run(exchange);
--- a/tests/standins/fleet/endpointstandin.h
+++ b/tests/standins/fleet/endpointstandin.h
@@ -27,6 +27,7 @@
 {
     HttpHead m_head;
     std::string m_body;
+    TimePoint m_arrivedAt;
 };
 
 // One endpoint of the platform. Streams are told by a path that begins with /stream/; they
--- a/tests/standins/fleet/groupstandin.cpp
+++ b/tests/standins/fleet/groupstandin.cpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 constexpr Milliseconds stepTime{30};
-// Choices of each expert in a step; those of the first rank under the first map are in demand.
+// Choices of each expert in a step; those of one rank under the first map are in demand.
 constexpr std::uint64_t manyChoices = 40000;
 constexpr std::uint64_t fewChoices = 1000;
 
@@ -71,6 +71,18 @@
     m_lateBy = delay;
 }
 
+void GroupStandIn::setDoubledOrders(double part, Milliseconds delay)
+{
+    m_doubledPart = part;
+    m_doubledAfter = delay;
+}
+
+// Draws no number for a part of nothing.
+bool GroupStandIn::isOneOf(double part)
+{
+    return part > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < part;
+}
+
 void GroupStandIn::freezeOnHold(std::size_t rank, std::function<void()> frozen)
 {
     m_freezesOnHold = rank;
@@ -105,7 +117,12 @@
         m_longestRepetition =
             std::max(m_longestRepetition.value_or(Duration(0)), now - dropped->second);
     }
-    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_latePart) {
+    if (isOneOf(m_lostPart))
+        return;
+    if (isOneOf(m_doubledPart))
+        m_loop.callAt(Clock::now() + m_doubledAfter,
+                      [this, rank, order] { carryOut(rank, order); });
+    if (isOneOf(m_latePart)) {
         m_loop.callAt(Clock::now() + m_lateBy, [this, rank, order] { carryOut(rank, order); });
         return;
     }
@@ -195,7 +212,8 @@
     ++m_step;
     for (Rank &rank : m_ranks) {
         for (std::size_t expert = 0; expert < experts; ++expert)
-            rank.m_counts[expert] += expert % m_ranks.size() == 0 ? manyChoices : fewChoices;
+            rank.m_counts[expert] +=
+                expert % m_ranks.size() == m_demandedRank ? manyChoices : fewChoices;
         if (!rank.m_armed || rank.m_armed->m_step != m_step)
             continue;
         rank.m_map = *std::exchange(rank.m_prepared, std::nullopt);
--- a/tests/standins/fleet/groupstandin.h
+++ b/tests/standins/fleet/groupstandin.h
@@ -15,7 +15,8 @@
 namespace burdockhead::test {
 
 // A group of ranks in lock-step, each behind an address of its own, as the platform forms them.
-// Its requests choose experts unevenly: those of one rank under the first map take most.
+// Its requests choose experts unevenly: those of one rank under the first map take most, which
+// rank that is can be changed.
 class GroupStandIn
 {
 public:
@@ -32,6 +33,15 @@
     // Leaves a part of the orders unanswered and carries them out this much later.
     void setLateOrders(double part, Milliseconds delay);
 
+    // Leaves a part of the orders unanswered and never carries them out.
+    void setLostOrders(double part) { m_lostPart = part; }
+
+    // Carries out a part of the orders once more, this much later.
+    void setDoubledOrders(double part, Milliseconds delay);
+
+    // Lets requests choose the experts of another rank most.
+    void shiftDemand(std::size_t rank) { m_demandedRank = rank; }
+
     // Leaves each order to prepare unanswered the first time, and never carries that one out.
     void dropFirstPreparations() { m_dropsPreparations = true; }
 
@@ -45,7 +55,8 @@
 
     std::uint64_t step() const { return m_step; }
     bool isHeld() const { return m_held == m_step + 1; }
-    bool hasNewMap() const { return m_ranks.front().m_map.m_version > 0; }
+    bool hasNewMap() const { return mapVersion() > 0; }
+    std::uint64_t mapVersion() const { return m_ranks.front().m_map.m_version; }
     bool isFrozen() const { return m_frozen.has_value(); }
     bool hasSplit() const { return m_hasSplit; }
 
@@ -79,6 +90,7 @@
         std::unique_ptr<HttpListener> m_listener;
     };
 
+    bool isOneOf(double part);
     void handle(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange);
     void takeOrder(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange);
     int carryOut(std::size_t rank, const std::string &order);
@@ -98,8 +110,12 @@
     bool m_dropsPreparations = false;
     std::map<std::pair<std::size_t, std::string>, TimePoint> m_dropped; // By rank and order.
     std::optional<Duration> m_longestRepetition;
+    double m_lostPart = 0;
     double m_latePart = 0;
     Milliseconds m_lateBy{0};
+    double m_doubledPart = 0;
+    Milliseconds m_doubledAfter{0};
+    std::size_t m_demandedRank = 0;
     std::optional<std::size_t> m_frozen;
     std::optional<std::size_t> m_freezesOnHold;
     std::function<void()> m_onFrozen;
--- a/tests/standins/platform/platformstandin.cpp
+++ b/tests/standins/platform/platformstandin.cpp
@@ -45,6 +45,8 @@
     Milliseconds m_vmLag{0};
 };
 
+using Objects = std::map<std::string, StoredObject>;
+
 std::uint64_t numberOr(const std::optional<std::string> &text, std::uint64_t fallback)
 {
     std::uint64_t number = fallback;
@@ -64,7 +66,9 @@
 {
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, StoredObject> m_objects;
+    Objects m_objects;
+    Objects m_copy;
+    std::uint64_t m_era = 1;
     std::list<Waiting> m_waiting;
     std::vector<Responder> m_lost;
     std::vector<std::pair<TimePoint, std::vector<Vm>>> m_vmLists;
@@ -77,11 +81,13 @@
     void handle(const HttpRequest &request, const Responder &responder);
     HttpResponse control(const HttpRequest &request);
     void setFaults(const Json &json);
+    void restoreCopy();
     HttpResponse get(const std::string &path);
     void put(const HttpRequest &request, const Responder &responder);
     void watch(const HttpRequest &request, const Responder &responder);
     std::vector<Vm> listedVms() const;
     void answer(const Responder &responder, HttpResponse response);
+    void respond(HttpResponder &responder, HttpResponse response) const;
     void runTimer();
     std::vector<Waiting> takeDue();
 };
@@ -105,6 +111,20 @@
     m_faults.m_vmLag = Milliseconds(json.value("vm_lag_ms", m_faults.m_vmLag.count()));
 }
 
+// Comes back from the copy in the next era; versions are given out again. Watches are cut.
+void PlatformStandIn::Private::restoreCopy()
+{
+    ++m_era;
+    m_objects = m_copy;
+    for (Waiting &waiting : m_waiting) {
+        if (waiting.m_watchedPath.empty())
+            continue;
+        waiting.m_response = jsonResponse(503, "{}");
+        waiting.m_due = Clock::now();
+    }
+    m_changed.notify_all();
+}
+
 // Test control, which no fault touches.
 HttpResponse PlatformStandIn::Private::control(const HttpRequest &request)
 {
@@ -115,6 +135,10 @@
         if (json.is_discarded())
             return jsonResponse(400, "{}");
         setFaults(json);
+        if (json.value("take_copy", false))
+            m_copy = m_objects;
+        if (json.value("restore_copy", false))
+            restoreCopy();
         return jsonResponse(200, "{}");
     }
     auto vms = readVmsJson(request.m_body);
@@ -165,20 +189,27 @@
 void PlatformStandIn::Private::answer(const Responder &responder, HttpResponse response)
 {
     if (m_faults.m_slow.count() == 0) {
-        responder->respond(std::move(response));
+        respond(*responder, std::move(response));
         return;
     }
     m_waiting.push_back({responder, std::move(response), Clock::now() + m_faults.m_slow, "", 0});
     m_changed.notify_all();
 }
 
+// Every response names the era.
+void PlatformStandIn::Private::respond(HttpResponder &responder, HttpResponse response) const
+{
+    response.m_headers.push_back({"Platform-Era", std::to_string(m_era)});
+    responder.respond(std::move(response));
+}
+
 void PlatformStandIn::Private::handle(const HttpRequest &request, const Responder &responder)
 {
     const std::lock_guard lock(m_mutex);
     const bool isRead = request.m_method == "GET";
     if (request.m_path == "/stats" || request.m_path == "/faults"
         || (request.m_path == "/vms" && !isRead)) {
-        responder->respond(control(request));
+        respond(*responder, control(request));
         return;
     }
     const bool isWatch = isRead && request.queryValue("watch").has_value();
@@ -227,6 +258,8 @@
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
         std::vector<Waiting> due = takeDue();
+        for (Waiting &waiting : due)
+            waiting.m_response.m_headers.push_back({"Platform-Era", std::to_string(m_era)});
         lock.unlock();
         for (Waiting &waiting : due)
             waiting.m_responder->respond(std::move(waiting.m_response));
--- a/tests/standins/platform/platformstandin.h
+++ b/tests/standins/platform/platformstandin.h
@@ -6,7 +6,9 @@
 
 namespace burdockhead {
 
-// The platform's object API and VM list in memory, with faults on order.
+// The platform's object API and VM list in memory, with faults on order. POST /faults takes
+// {"down":b}, {"slow_ms":n}, {"lose_answer_next":n}, {"vm_lag_ms":n}, {"take_copy":true} and
+// {"restore_copy":true}, which comes back from the copy in the next era.
 class PlatformStandIn
 {
 public:
