--- a/tests/soak/rankworld.cpp
+++ b/tests/soak/rankworld.cpp
@@ -50,7 +50,9 @@
     for (std::size_t number = 0; number < gatewayCount; ++number)
         m_gatewayAddresses.push_back(freeLoopbackAddress());
     for (std::size_t number = 0; number < gatewayCount; ++number)
-        startGateway(number);
+        m_gateways.push_back(startGateway(m_folder, "g" + std::to_string(number),
+                                          {freeLoopbackAddress(), m_gatewayAddresses[number],
+                                           m_gatewayAddresses.front(), m_storeProxy.address()}));
     for (std::size_t rank = 0; rank < ranks; ++rank)
         startAgent(rank);
 }
@@ -83,24 +85,6 @@
                                                            m_folder / (name + ".log")));
 }
 
-void RankWorld::startGateway(std::size_t number)
-{
-    const std::string name = "g" + std::to_string(number);
-    const std::string settings = m_folder / (name + ".ini");
-    std::ofstream(settings) << "[process]\nname = " << name
-                            << "\ndata_centre = a\n[listen]\nclients = "
-                            << freeLoopbackAddress().toString()
-                            << "\nreadiness = " << freeLoopbackAddress().toString()
-                            << "\ndirectory = " << freeLoopbackAddress().toString()
-                            << "\npeers = " << m_gatewayAddresses[number].toString()
-                            << "\nmetrics = " << freeLoopbackAddress().toString()
-                            << "\n[store]\naddress = " << m_storeProxy.address().toString()
-                            << "\n[seeds]\npeers = " << m_gatewayAddresses.front().toString()
-                            << "\n[bounds]\nstop_grace_s = 5\n";
-    m_gateways.push_back(std::make_unique<SupervisedProcess>(burdockhead("gateway", settings),
-                                                             m_folder / (name + ".log")));
-}
-
 void RankWorld::putConfiguration()
 {
     m_store.put("config", "main",
@@ -108,39 +92,20 @@
                     + GroupStandIn::service() + R"(],"limits":{},"tenants":[]})");
 }
 
-// Returns whether the fault is one of a process.
-bool RankWorld::beginAtProcess(const Fault &fault)
+SupervisedProcess &RankWorld::processOf(const Fault &fault)
 {
-    SupervisedProcess &agent = *m_agents[fault.m_which % m_agents.size()];
-    SupervisedProcess &gateway = *m_gateways[fault.m_which % m_gateways.size()];
-    switch (fault.m_type) {
-    case FaultType::KillRankAgent:
-        agent.kill();
-        return true;
-    case FaultType::StopRankAgent:
-        agent.terminate();
-        return true;
-    case FaultType::PauseRankAgent:
-        agent.pause();
-        return true;
-    case FaultType::KillGateway:
-        gateway.kill();
-        return true;
-    case FaultType::StopGateway:
-        gateway.terminate();
-        return true;
-    case FaultType::PauseGateway:
-        gateway.pause();
-        return true;
-    default:
-        return false;
-    }
+    auto &processes = fault.m_type <= FaultType::ReloadGateway ? m_gateways : m_agents;
+    return *processes[fault.m_which % processes.size()];
 }
 
 void RankWorld::begin(const Fault &fault)
 {
-    if (beginAtProcess(fault))
+    if (processOf(fault).begin(fault.m_type))
+        return;
+    if (StoreFaults::contains(fault.m_type)) {
+        m_storeFaults.begin(fault);
         return;
+    }
     switch (fault.m_type) {
     case FaultType::LoseOrders:
         m_group.setLostOrders(faultyPart);
@@ -154,15 +119,6 @@
     case FaultType::ShiftDemand:
         m_group.shiftDemand(fault.m_which % demandedRanks);
         break;
-    case FaultType::SilenceStore:
-        m_store.setSilent(true);
-        break;
-    case FaultType::RefuseStore:
-        m_store.setRefusal(fault.m_which % 2 == 0 ? 503 : 429);
-        break;
-    case FaultType::CutStore:
-        m_storeProxy.setMode(fault.m_which % 2 == 0 ? ProxyMode::Silent : ProxyMode::DropAnswers);
-        break;
     default:
         putConfiguration();
         break;
@@ -171,21 +127,13 @@
 
 void RankWorld::end(const Fault &fault)
 {
-    SupervisedProcess &agent = *m_agents[fault.m_which % m_agents.size()];
-    SupervisedProcess &gateway = *m_gateways[fault.m_which % m_gateways.size()];
+    if (processOf(fault).end(fault.m_type))
+        return;
+    if (StoreFaults::contains(fault.m_type)) {
+        m_storeFaults.end(fault);
+        return;
+    }
     switch (fault.m_type) {
-    case FaultType::KillRankAgent:
-        agent.revive();
-        break;
-    case FaultType::PauseRankAgent:
-        agent.resume();
-        break;
-    case FaultType::KillGateway:
-        gateway.revive();
-        break;
-    case FaultType::PauseGateway:
-        gateway.resume();
-        break;
     case FaultType::LoseOrders:
         m_group.setLostOrders(0);
         break;
@@ -195,16 +143,6 @@
     case FaultType::DoubleOrders:
         m_group.setDoubledOrders(0, orderDelay);
         break;
-    case FaultType::SilenceStore:
-        m_store.setSilent(false);
-        break;
-    case FaultType::RefuseStore:
-        m_store.setRefusal(0);
-        break;
-    case FaultType::CutStore:
-        m_storeProxy.setMode(ProxyMode::Pass);
-        m_storeProxy.resetAll();
-        break;
     default:
         break;
     }
--- a/tests/soak/rankworld.h
+++ b/tests/soak/rankworld.h
@@ -3,7 +3,7 @@
 #include "faultyproxy.h"
 #include "groupstandin.h"
 #include "soakplan.h"
-#include "storestandin.h"
+#include "storefaults.h"
 #include "supervisedprocess.h"
 
 #include <filesystem>
@@ -37,11 +37,10 @@
 
 private:
     void startAgent(std::size_t rank);
-    void startGateway(std::size_t number);
     void putConfiguration();
+    SupervisedProcess &processOf(const Fault &fault);
     void begin(const Fault &fault);
     void end(const Fault &fault);
-    bool beginAtProcess(const Fault &fault);
     void watch();
     void checkEnd(std::uint64_t stepsAtCheck, std::uint64_t versionAtShift);
 
@@ -49,6 +48,7 @@
     std::filesystem::path m_folder;
     StoreStandIn m_store{m_loop};
     FaultyProxy m_storeProxy;
+    StoreFaults m_storeFaults{m_store, m_storeProxy};
     std::vector<std::string> m_hosts;
     GroupStandIn m_group;
     std::uint16_t m_agentPort;
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -34,11 +34,6 @@
 constexpr Milliseconds knowingTime{2000};
 constexpr Milliseconds regainTime{1000};
 
-bool isAtStore(FaultType type)
-{
-    return type >= FaultType::SilenceStore && type <= FaultType::CutStore;
-}
-
 std::string configuration(int version, const std::string &credential)
 {
     const auto route = [](const char *name, const char *prefix, const char *rest) {
@@ -140,33 +135,16 @@
         gateway.m_clients = freeLoopbackAddress();
         gateway.m_peers = freeLoopbackAddress();
     }
-    for (std::size_t number = 0; number < m_gateways.size(); ++number)
-        startGateway(number);
+    for (std::size_t number = 0; number < m_gateways.size(); ++number) {
+        Gateway &gateway = m_gateways[number];
+        gateway.m_process = startGateway(m_folder, "g" + std::to_string(number),
+                                         {gateway.m_clients, gateway.m_peers,
+                                          m_gateways.front().m_peers, m_storeProxy.address()});
+    }
 }
 
 SoakWorld::~SoakWorld() = default;
 
-void SoakWorld::startGateway(std::size_t number)
-{
-    Gateway &gateway = m_gateways[number];
-    const std::string name = "g" + std::to_string(number);
-    const std::string settings = m_folder / (name + ".ini");
-    std::ofstream(settings) << "[process]\nname = " << name
-                            << "\ndata_centre = a\n[listen]\nclients = "
-                            << gateway.m_clients.toString()
-                            << "\nreadiness = " << freeLoopbackAddress().toString()
-                            << "\ndirectory = " << freeLoopbackAddress().toString()
-                            << "\npeers = " << gateway.m_peers.toString()
-                            << "\nmetrics = " << freeLoopbackAddress().toString()
-                            << "\n[store]\naddress = " << m_storeProxy.address().toString()
-                            << "\n[seeds]\npeers = " << m_gateways.front().m_peers.toString()
-                            << "\n[bounds]\nstop_grace_s = 5\n";
-    gateway.m_process = std::make_unique<SupervisedProcess>(
-        std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
-                                 "--settings=" + settings},
-        m_folder / (name + ".log"));
-}
-
 // The entry names the proxy's address, and the registered id stays when the endpoint behind the
 // address is replaced.
 void SoakWorld::registerEndpoint(Endpoint &endpoint, const std::string &state)
@@ -199,43 +177,6 @@
     m_store.put("config", "main", configuration(m_version, m_credential));
 }
 
-void SoakWorld::beginAtGateway(const Fault &fault, SupervisedProcess &gateway)
-{
-    switch (fault.m_type) {
-    case FaultType::KillGateway:
-        gateway.kill();
-        break;
-    case FaultType::StopGateway:
-        gateway.terminate();
-        break;
-    case FaultType::PauseGateway:
-        gateway.pause();
-        break;
-    default:
-        gateway.reload();
-        break;
-    }
-}
-
-void SoakWorld::beginAtStore(const Fault &fault)
-{
-    ++m_storeFaults;
-    switch (fault.m_type) {
-    case FaultType::SilenceStore:
-        m_store.setSilent(true);
-        break;
-    case FaultType::RefuseStore:
-        m_store.setRefusal(fault.m_which % 2 == 0 ? 503 : 429);
-        break;
-    case FaultType::ForgetStore:
-        m_store.setDeaf(true);
-        break;
-    default:
-        m_storeProxy.setMode(fault.m_which % 2 == 0 ? ProxyMode::Silent : ProxyMode::DropAnswers);
-        break;
-    }
-}
-
 void SoakWorld::beginAtEndpoint(const Fault &fault, Endpoint &endpoint)
 {
     switch (fault.m_type) {
@@ -263,10 +204,11 @@
 void SoakWorld::begin(const Fault &fault)
 {
     m_lastFaultAt = Clock::now();
-    if (fault.m_type <= FaultType::ReloadGateway) {
-        beginAtGateway(fault, *m_gateways[fault.m_which % m_gateways.size()].m_process);
-    } else if (isAtStore(fault.m_type)) {
-        beginAtStore(fault);
+    if (m_gateways[fault.m_which % m_gateways.size()].m_process->begin(fault.m_type))
+        return;
+    if (StoreFaults::contains(fault.m_type)) {
+        ++m_openStoreFaults;
+        m_storeFaults.begin(fault);
     } else if (fault.m_type <= FaultType::LeaveEndpoint) {
         beginAtEndpoint(fault, m_endpoints[fault.m_which % m_endpoints.size()]);
     } else if (fault.m_type == FaultType::TakeOut) {
@@ -285,33 +227,16 @@
 void SoakWorld::end(const Fault &fault)
 {
     m_lastFaultAt = Clock::now();
-    if (isAtStore(fault.m_type)) {
-        --m_storeFaults;
+    if (m_gateways[fault.m_which % m_gateways.size()].m_process->end(fault.m_type))
+        return;
+    if (StoreFaults::contains(fault.m_type)) {
+        --m_openStoreFaults;
         m_storeWorksSince = Clock::now();
+        m_storeFaults.end(fault);
+        return;
     }
-    SupervisedProcess &gateway = *m_gateways[fault.m_which % m_gateways.size()].m_process;
     Endpoint &endpoint = m_endpoints[fault.m_which % m_endpoints.size()];
     switch (fault.m_type) {
-    case FaultType::KillGateway:
-        gateway.revive();
-        break;
-    case FaultType::PauseGateway:
-        gateway.resume();
-        break;
-    case FaultType::SilenceStore:
-        m_store.setSilent(false);
-        break;
-    case FaultType::RefuseStore:
-        m_store.setRefusal(0);
-        break;
-    case FaultType::ForgetStore:
-        m_store.setDeaf(false);
-        m_store.forgetHistory();
-        break;
-    case FaultType::CutStore:
-        m_storeProxy.setMode(ProxyMode::Pass);
-        m_storeProxy.resetAll();
-        break;
     case FaultType::EndpointMisbehaves:
         endpoint.m_standIn->misbehave(Misbehaviour::None);
         break;
@@ -436,7 +361,7 @@
 {
     const auto sentTo =
         m_gatewayOf.find(findHeader(request.m_head.m_headers, "X-Request-Id").value_or(""));
-    if (m_storeFaults > 0 || sentTo == m_gatewayOf.end())
+    if (m_openStoreFaults > 0 || sentTo == m_gatewayOf.end())
         return;
     const TimePoint isInTouchSince =
         std::max(m_storeWorksSince, m_gateways[sentTo->second].m_process->disturbedAt())
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -3,7 +3,7 @@
 #include "faultyproxy.h"
 #include "requestbook.h"
 #include "soakplan.h"
-#include "storestandin.h"
+#include "storefaults.h"
 #include "supervisedprocess.h"
 #include <burdockhead/net/httpclientpool.h>
 
@@ -63,15 +63,12 @@
         std::optional<TimePoint> m_leftAt;
     };
 
-    void startGateway(std::size_t number);
     void registerEndpoint(Endpoint &endpoint, const std::string &state);
     void takeOut();
     void bringBack();
     void putConfiguration();
     void begin(const Fault &fault);
     void end(const Fault &fault);
-    static void beginAtGateway(const Fault &fault, SupervisedProcess &gateway);
-    void beginAtStore(const Fault &fault);
     void beginAtEndpoint(const Fault &fault, Endpoint &endpoint);
     void call();
     void keepGatewaysRunning();
@@ -84,6 +81,7 @@
     std::filesystem::path m_folder;
     StoreStandIn m_store{m_loop};
     FaultyProxy m_storeProxy;
+    StoreFaults m_storeFaults{m_store, m_storeProxy};
     std::vector<Gateway> m_gateways;
     std::vector<Endpoint> m_endpoints;
     HttpClientPool m_pool{m_loop};
@@ -99,7 +97,7 @@
     bool m_sendsFatalPart = false;
     bool m_restoresStore = false;
     std::map<std::string, std::size_t> m_gatewayOf; // Of each request.
-    int m_storeFaults = 0;
+    int m_openStoreFaults = 0;
     TimePoint m_storeWorksSince;
     std::optional<TimePoint> m_outSince; // The data centre.
     int m_takenOut = 0;                  // Faults that hold it out.
--- a/tests/soak/supervisedprocess.h
+++ b/tests/soak/supervisedprocess.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "childprocess.h"
+#include "soakplan.h"
+#include <burdockhead/base/socketaddress.h>
 #include <burdockhead/base/timepoint.h>
 
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,17 +22,10 @@
     // Starts it again if it has ended and isn't kept down; to be called now and then.
     void keepRunning();
 
-    // Send signals; a process that is down or paused gets none.
-    void terminate();
-    void reload();
-
-    // Kills it and keeps it down until revive().
-    void kill();
-    void revive() { m_isDown = false; }
-
-    // Stops and continues it.
-    void pause();
-    void resume();
+    // Begin and end a fault that kills, stops, pauses or reloads a process. One that is down or
+    // paused isn't disturbed. Return whether the fault is of that type.
+    bool begin(FaultType type);
+    bool end(FaultType type);
 
     // Returns how it ended without or other than by order, one line each time.
     const std::vector<std::string> &unexpectedEnds() const { return m_unexpectedEnds; }
@@ -39,6 +35,12 @@
 
 private:
     void start();
+    void kill();
+    void terminate();
+    void pause();
+    void reload();
+    void revive() { m_isDown = false; }
+    void resume();
 
     // Returns whether it can be disturbed, and if so notes that it was.
     bool disturb();
@@ -54,4 +56,18 @@
     TimePoint m_disturbedAt;
 };
 
+// Addresses of a gateway of the soak.
+struct GatewayAddresses
+{
+    SocketAddress m_clients;
+    SocketAddress m_peers;
+    SocketAddress m_seed; // Peers' address of another gateway.
+    SocketAddress m_store;
+};
+
+// Starts a gateway with settings and a log of that name in the folder.
+std::unique_ptr<SupervisedProcess> startGateway(const std::filesystem::path &folder,
+                                                const std::string &name,
+                                                const GatewayAddresses &addresses);
+
 } // namespace burdockhead::test
