Keep the HTTP library from sending a request with a body again

What was seen: an engine that had just turned cold got one request more than it carries, in about 1 of 24 runs of test_coldstartprocesses beside load. Cause: libcurl sends a request again by itself when a kept connection breaks before the response. An engine that turns cold cuts its connections; a request that had just been sent came a second time, unknown to the agent, beside those that it had started since. Seen in a trace of agent and engine: the engine admitted a third request 1 ms after it had turned cold, and the agent had started two. Change: bodies are handed over by a callback that can't be rewound, so the library gives up instead. Calls that may run once still use a connection of their own, since one without a body can be sent again. Ruled out: a request that the agent sends too early; the trace shows none.

--- a/src/burdockhead/http/httpclient.cpp
+++ b/src/burdockhead/http/httpclient.cpp
@@ -26,6 +26,7 @@
     curl_slist *m_headerList = nullptr;
     std::vector<HttpHeader> m_responseHeaders;
     bool m_headReported = false;
+    std::size_t m_bodyBytesRead = 0; // By the library.
 };
 
 struct CurlGlobal
@@ -74,6 +75,14 @@
     return size;
 }
 
+std::size_t readBody(char *buffer, std::size_t, std::size_t size, void *user)
+{
+    auto &open = *static_cast<OpenCall *>(user);
+    const std::size_t copied = open.m_call.m_body.copy(buffer, size, open.m_bodyBytesRead);
+    open.m_bodyBytesRead += copied;
+    return copied;
+}
+
 void setOptions(OpenCall &open)
 {
     CURL *easy = open.m_easy;
@@ -96,9 +105,13 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
     if (!call.m_body.empty() || call.m_method == "POST" || call.m_method == "PUT") {
+        // The library sends a request again by itself when a kept connection breaks before the
+        // response. It can't with a body that it is unable to rewind.
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(call.m_body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.m_body.data());
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, readBody);
+        curl_easy_setopt(easy, CURLOPT_READDATA, &open);
     }
     open.m_headerList = curl_slist_append(nullptr, "Expect:");
     for (const HttpHeader &header : call.m_headers) {
--- a/src/burdockhead/http/httpclient.h
+++ b/src/burdockhead/http/httpclient.h
@@ -22,8 +22,8 @@
     std::vector<HttpHeader> m_headers;
     std::string m_body;
     TimePoint m_deadline;
-    // Uses a connection of its own that is closed afterwards, so that the library never
-    // sends the call a second time when a reused connection breaks.
+    // Uses a connection of its own that is closed afterwards. The library sends a call without a
+    // body a second time when a reused connection breaks; one with a body never.
     bool m_neverResend = false;
 };
 
