Count requests whose connection broke unanswered against an endpoint's limit

An endpoint that cuts its connections as it turns cold may have read requests that it hasn't begun, and begin them; so may one whose request timed out. The agent took their end for certain and started others in their places at once: with an engine stand-in that keeps such requests, three or four ran at a limit of two. They count for half a second now, as requests do that the agent cancels.

--- a/src/burdockhead/agent/agentcore.h
+++ b/src/burdockhead/agent/agentcore.h
@@ -88,9 +88,9 @@
     void complete(AgentRequest &request, TimePoint now);
     void failRunning(AgentRequest &request, const HttpOutcome &outcome, TimePoint now);
     void abandon(const AgentRequestPointer &request);
-    // Ends a cancelled request, once the endpoint has had cancelSettleTime to detect the closed
-    // connection.
-    void finishCancelled(const RequestId &id);
+    // Ends a request whose connection was closed before its response ended, once the endpoint has
+    // had closedSettleTime to detect that.
+    void finishClosed(const RequestId &id);
 
     // Refuses an attempt; `retryAfter` is the time, not the delay, from which a retry may be sent.
     void refuse(const ResponseSubscriber &subscriber, ErrorKind kind, RunState runState,
--- a/src/burdockhead/agent/agentcoreendpoint.cpp
+++ b/src/burdockhead/agent/agentcoreendpoint.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 constexpr Milliseconds probeTimeout{1000};
-// The endpoint may continue with a request for this long after its connection was closed.
-constexpr Milliseconds cancelSettleTime{500};
+// The endpoint may continue with a request for this long after its connection was closed, or begin
+// one that it had read before.
+constexpr Milliseconds closedSettleTime{500};
 
 } // namespace
 
@@ -150,21 +151,25 @@
         complete(*request, now);
     else
         failRunning(*request, outcome, now);
-    if (!request->m_hasEnded) {
+    if (request->m_hasEnded)
+        remove(request);
+    // The endpoint may have read a request without beginning it when the connection broke.
+    const bool mayStillRun =
+        !outcome.m_completed && outcome.m_sent && (!request->m_hasHead || hasTimedOut);
+    if (!request->m_hasEnded || mayStillRun) {
         // It counts against the limit until the endpoint has certainly detected the closed
         // connection.
-        m_pool.runAt(now + cancelSettleTime, [weak = weak_from_this(), id] {
+        m_pool.runAt(now + closedSettleTime, [weak = weak_from_this(), id] {
             if (const auto self = weak.lock())
-                self->finishCancelled(id);
+                self->finishClosed(id);
         });
         return;
     }
-    remove(request);
     perform(m_admission.onFinished(
         id, outcome.m_completed ? RunOutcome::Completed : RunOutcome::Failed, now));
 }
 
-void AgentCore::finishCancelled(const RequestId &id)
+void AgentCore::finishClosed(const RequestId &id)
 {
     const Lock lock(m_mutex);
     if (const AgentRequestPointer request = find(id))
--- a/tests/standins/engine/enginerank.cpp
+++ b/tests/standins/engine/enginerank.cpp
@@ -159,9 +159,10 @@
     ++m_bootId;
     m_cold = true;
     m_completedSinceCold = 0;
-    m_counters.m_broken += m_running.size();
     dropConnections(m_options.m_port);
-    m_running.clear();
+    m_counters.m_broken += std::erase_if(m_running, [this](const Generation &generation) {
+        return generation.m_begun || !m_keepsUnbegun;
+    });
     m_cache.clear(Clock::now());
 }
 
@@ -274,6 +275,7 @@
     readFlag(*body, "cross", m_cross);
     readFlag(*body, "down", m_down);
     readFlag(*body, "falls_over", m_options.m_fallsOver);
+    readFlag(*body, "keeps_unbegun", m_keepsUnbegun);
     bool cold = false;
     readFlag(*body, "cold", cold);
     sendJson(*responder, 200, m_bootId, {{"ok", true}});
--- a/tests/standins/engine/enginerank.h
+++ b/tests/standins/engine/enginerank.h
@@ -40,7 +40,8 @@
 // GET /stats: counters. POST /mark: sets the counters "since mark" to 0.
 // POST /faults: {"cold":true}, {"stall_ms":n}, {"fail_next":n,"fail_after_tokens":k},
 //     {"slow_factor":f}, {"cross":b}, {"cache_gap":b}, {"down":b}, {"ignore_fence":b},
-//     {"falls_over":b}.
+//     {"falls_over":b}; {"keeps_unbegun":b}: requests without a token yet outlast a turn to
+//     cold, as if they had been read from their connections but not begun.
 // GET /cache-events?after=N: {"events":[{sequence, type, prefix_hash}]}.
 // POST /orders {fence, type, payload}: 409 for an old fencing number. Types "load_model",
 //     "load_adapter" and others are recorded. "expert_map" {version}: in force from the
@@ -158,6 +159,7 @@
     std::int64_t m_failAfterTokens = 0;
     double m_slowFactor = 1;
     bool m_cross = false;
+    bool m_keepsUnbegun = false;
 };
 
 } // namespace burdockhead
