Drop a frame that was read while its connection was being closed

Cause: closing drops the handlers. A read that had completed before, and whose completion waited behind the close, still called the handler for frames. Change: the completion looks whether the connection is closed.

--- a/src/burdockhead/transport/frameconnection.cpp
+++ b/src/burdockhead/transport/frameconnection.cpp
@@ -55,7 +55,7 @@
                      asio::bind_executor(m_d->m_strand, [self = shared_from_this()](
                                                             const asio::error_code &error, auto) {
                          const std::size_t length = lengthOf(self->m_d->m_length);
-                         if (error || length > maxFrameBytes)
+                         if (error || self->m_d->m_closed || length > maxFrameBytes)
                              self->closeInStrand();
                          else
                              self->readBody(length);
@@ -68,7 +68,8 @@
     asio::async_read(m_d->m_socket, asio::buffer(m_d->m_body),
                      asio::bind_executor(m_d->m_strand, [self = shared_from_this()](
                                                             const asio::error_code &error, auto) {
-                         if (error) {
+                         // What was read before the connection closed is dropped.
+                         if (error || self->m_d->m_closed) {
                              self->closeInStrand();
                              return;
                          }
--- a/tests/internal/transport/test_frameconnection.cpp
+++ b/tests/internal/transport/test_frameconnection.cpp
@@ -1,4 +1,5 @@
 #include <burdockhead/transport/frameconnection.h>
+#include <burdockhead/transport/frameconnectionprivate.h>
 #include <burdockhead/transport/framelistener.h>
 #include <burdockhead/transport/workerpool.h>
 
@@ -6,6 +7,7 @@
 
 #include <freeport.h>
 #include <future>
+#include <thread>
 
 using namespace burdockhead;
 
@@ -56,4 +58,40 @@
     BOOST_TEST(!connected.get_future().get());
 }
 
+// Load pattern: a peer sends while its connection is being closed.
+BOOST_AUTO_TEST_CASE(a_frame_that_arrives_while_its_connection_closes_is_dropped)
+{
+    WorkerPool pool(2);
+    auto &context = *static_cast<asio::io_context *>(pool.context());
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::socket peer(context);
+    peer.connect(acceptor.local_endpoint());
+    auto state = std::make_unique<FrameConnection::Private>(acceptor.accept());
+    const auto strand = state->m_strand;
+    const auto connection = std::make_shared<FrameConnection>(std::move(state));
+    std::promise<void> closed;
+    connection->start([](const FrameConnectionPointer &, const Frame &) {},
+                      [&closed](const FrameConnectionPointer &) { closed.set_value(); });
+    const std::string body = encodeFrame(CancelFrame{}, Clock::now());
+    const std::string length = {0, 0, 0, static_cast<char>(body.size())};
+    asio::write(peer, asio::buffer(length));
+    std::this_thread::sleep_for(Milliseconds(50));
+    // The body is read while the strand is busy and the close waits for it.
+    std::promise<void> isBlocked;
+    std::promise<void> released;
+    asio::post(strand, [&] {
+        isBlocked.set_value();
+        released.get_future().wait();
+    });
+    isBlocked.get_future().wait();
+    connection->close();
+    asio::write(peer, asio::buffer(body));
+    std::this_thread::sleep_for(Milliseconds(50));
+    released.set_value();
+    closed.get_future().wait();
+    std::this_thread::sleep_for(Milliseconds(50));
+    BOOST_TEST(connection->unsentBytes() == 0U);
+    pool.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
