Log what a gateway believes of its retry budget, and which sends are repeats

The logs of budget-retries couldn't tell whether retries are counted at another moment than they are sent, whether a gateway's part was wrong, or whether sends go uncounted: retried and not_retried now have the requests, the retries and the retries allowed in the window, and sent names its service and whether it is a repeat. No decision changes.

--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -283,7 +283,9 @@
                                      request.m_method == "HEAD"};
     dependencies.m_log.add("sent", {{"request", m_attributes.m_id},
                                     {"route", m_route.m_name},
+                                    {"service", m_service.text()},
                                     {"endpoint", m_lastEndpoint.text()},
+                                    {"repeat", m_isRepeat ? "yes" : "no"},
                                     {"attempt", std::to_string(m_attempts + 1)},
                                     {"in_flight", std::to_string(m_endpoint->m_inFlight)},
                                     {"config", std::to_string(m_configurationVersion)},
@@ -541,20 +543,28 @@
     const TimePoint now = Clock::now();
     const GatewayDependencies &dependencies = m_router.dependencies();
     m_triedEndpoints.push_back(m_lastEndpoint);
-    const bool canRetry = m_attempts < m_route.m_maxAttempts && now < m_deadline
-                          && m_router.limiter(m_service).retryBudget().tryAcquire(
-                              dependencies.m_peers.gatewayCount(now), now);
-    dependencies.m_log.add(canRetry ? "retried" : "not_retried",
-                           {{"request", m_attributes.m_id},
-                            {"endpoint", m_lastEndpoint.text()},
-                            {"reason", reason},
-                            {"faulty", m_responseAttributes.m_faultyEndpoint},
-                            {"attempts", std::to_string(m_attempts)},
-                            {"max_attempts", std::to_string(m_route.m_maxAttempts)},
-                            {"fleet", std::to_string(dependencies.m_peers.gatewayCount(now))},
-                            {"elapsed_ms", toText(elapsed())}});
-    if (canRetry)
+    const std::size_t gateways = dependencies.m_peers.gatewayCount(now);
+    ServiceRetryBudget &budget = m_router.limiter(m_service).retryBudget();
+    const RetryBudgetState before = budget.state(gateways, now);
+    const bool canRetry =
+        m_attempts < m_route.m_maxAttempts && now < m_deadline && budget.tryAcquire(gateways, now);
+    dependencies.m_log.add(
+        canRetry ? "retried" : "not_retried",
+        {{"request", m_attributes.m_id},
+         {"endpoint", m_lastEndpoint.text()},
+         {"reason", reason},
+         {"faulty", m_responseAttributes.m_faultyEndpoint},
+         {"attempts", std::to_string(m_attempts)},
+         {"max_attempts", std::to_string(m_route.m_maxAttempts)},
+         {"fleet", std::to_string(gateways)},
+         {"budget_requests", std::to_string(before.m_requests)},
+         {"budget_retries", std::to_string(before.m_retries)},
+         {"budget_allowed", std::to_string(static_cast<unsigned>(before.m_allowed))},
+         {"elapsed_ms", toText(elapsed())}});
+    if (canRetry) {
+        m_isRepeat = true;
         sendOrQueue();
+    }
     return canRetry;
 }
 
@@ -574,6 +584,7 @@
                                      {"elapsed_ms", toText(elapsed())}});
     ++m_attempts;
     m_mayHaveRun = true;
+    m_isRepeat = true;
     m_call.reset();
     m_triedEndpoints.push_back(m_lastEndpoint);
     releaseEndpoint(false);
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -109,6 +109,7 @@
     unsigned m_attempts = 0; // Attempts that reached an endpoint or may have.
     unsigned m_failedConnects = 0;
     bool m_mayHaveRun = false;
+    bool m_isRepeat = false;   // The next dispatch may not be the first to reach an endpoint.
     bool m_isIsolated = false; // In its last dispatch.
     bool m_isSound = false;    // Its endpoint has been answering it for long enough.
     bool m_isQueued = false;
--- a/src/burdockhead/gateway/serviceretrybudget.cpp
+++ b/src/burdockhead/gateway/serviceretrybudget.cpp
@@ -10,12 +10,21 @@
     , m_retries(options.m_window)
 {}
 
-bool ServiceRetryBudget::tryAcquire(std::size_t gatewayCount, TimePoint now)
+RetryBudgetState ServiceRetryBudget::state(std::size_t gatewayCount, TimePoint now)
 {
-    const double allowedRetries =
-        m_options.m_ratio * static_cast<double>(m_requests.count(now))
+    RetryBudgetState state;
+    state.m_requests = m_requests.count(now);
+    state.m_retries = m_retries.count(now);
+    state.m_allowed =
+        m_options.m_ratio * static_cast<double>(state.m_requests)
         + m_options.m_burst / static_cast<double>(std::max<std::size_t>(gatewayCount, 1));
-    if (static_cast<double>(m_retries.count(now) + 1) > allowedRetries)
+    return state;
+}
+
+bool ServiceRetryBudget::tryAcquire(std::size_t gatewayCount, TimePoint now)
+{
+    const RetryBudgetState current = state(gatewayCount, now);
+    if (static_cast<double>(current.m_retries + 1) > current.m_allowed)
         return false;
     m_retries.record(now);
     return true;
