Keep restarted gateways from spending the retry budget again

What callers saw: nothing; endpoints in trouble got up to 364 repeated requests in ten seconds where 261 are allowed, when gateways were killed meanwhile. Cause: retries and requests are counted in the process. One that started had its whole part of the burst again, and the ratio of its own requests on top of what its predecessor had earned by those of the window before. A gateway that was added, or that stood still, divided the burst by a number that others didn't know yet. Change: a gateway takes no part of the burst until its predecessor's retries are outside of the window and all others have counted it for as long, unless the deployment starts for the first time (seeds, first_start); after a pause it learns the others first. Half of the requests of two windows earn the ratio: it is never more than the platform allows, and adds up over gateways and over the runs of one. Gateways count for ten minutes after their last heartbeat. Why it works: each run's retries in a window are bounded by a part of the burst that no other run has within that window, plus a sum of its own requests that is linear, so that the sums of all runs stay under the bound of all requests. Cost: a gateway that has just started retries less for 13 s.

--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -81,6 +81,11 @@
     return serviceLimiter;
 }
 
+double CallRouter::burstShare(TimePoint now) const
+{
+    return m_dependencies.m_peers.shareOfLimit(m_dependencies.m_bounds.m_retryWindow, now);
+}
+
 void CallRouter::updateCapacity(const GroupName &service, ServiceLimiter &serviceLimiter)
 {
     const TimePoint now = Clock::now();
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -77,6 +77,7 @@
     // Used by ProxiedCall.
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     ServiceLimiter &limiter(const GroupName &service);
+    double burstShare(TimePoint now) const; // Of retry budgets.
     std::size_t maxPerSecond(const GroupName &service) const;
     std::optional<GatewayPosition> position(const GroupName &service) const;
     void enqueue(const GroupName &service, const QueuedCall &queuedCall);
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -145,6 +145,8 @@
 
 bool GatewayProcess::start(std::string &error)
 {
+    if (m_settings.m_isFirstStart)
+        m_peers.setFirstStart();
     m_loop.onSignal(SIGTERM, [this] { stop(); });
     m_loop.onSignal(SIGINT, [this] { stop(); });
     m_loop.onSignal(SIGHUP, [this] { reload(); });
@@ -200,6 +202,7 @@
     }
     if (*settings == m_settings)
         return;
+    m_settings.m_isFirstStart = settings->m_isFirstStart; // Matters at the start only.
     m_settings.m_bounds = settings->m_bounds;
     m_settings.m_seeds = settings->m_seeds;
     m_peers.setSeeds(settings->m_seeds);
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -15,8 +15,10 @@
 // two lost datagrams don't matter.
 constexpr Milliseconds deadAfter{2500};
 // A gateway still counts in the division of global limits for this time after its last heartbeat:
-// behind a partition it may run on and use its share. Longer than partitions usually last.
-constexpr Milliseconds countedFor{60000};
+// behind a partition it may run on and use its share. Longer than partitions last.
+constexpr Milliseconds countedFor{600000};
+// Time in which all gateways in touch with each other hear of one that has started.
+constexpr Milliseconds learningTime{3000};
 // Number of gateways that is assumed at the start, before others are known, and for how long.
 constexpr std::size_t assumedGateways = 16;
 constexpr Milliseconds assumedFor{3000};
@@ -36,7 +38,14 @@
 
 std::vector<SocketAddress> PeerTable::beginHeartbeat(TimePoint now)
 {
-    m_startedAt = std::min(m_startedAt, now);
+    const bool isStart = !m_startedAt.has_value();
+    if (isStart) {
+        m_startedAt = now;
+        m_countedSince = now;
+    }
+    if (isStart || now - m_lastOwnHeartbeatAt >= deadAfter)
+        m_learnsSince = now;
+    m_lastOwnHeartbeatAt = now;
     ++m_local.m_heartbeat;
     std::vector<SocketAddress> targets = livePeers(now);
     std::shuffle(targets.begin(), targets.end(), m_random);
@@ -71,6 +80,7 @@
     const auto version = [](const PeerRecord &record) {
         return std::tuple(record.m_incarnation, record.m_heartbeat);
     };
+    const bool wasIsolated = m_peers.empty();
     for (const PeerRecord &record : records) {
         if (record.m_name == m_local.m_name)
             continue;
@@ -82,6 +92,18 @@
     std::erase_if(m_peers, [&](const auto &item) {
         return now - item.second.m_lastHeartbeatAt > countedFor;
     });
+    if (wasIsolated && !m_peers.empty())
+        onFirstPeer(now);
+}
+
+// Others may have divided limits without this gateway until now.
+void PeerTable::onFirstPeer(TimePoint now)
+{
+    m_learnsSince = now;
+    if (m_startedAt && now >= *m_startedAt + learningTime) {
+        m_countedSince = now;
+        m_hasPredecessor = true;
+    }
 }
 
 std::vector<SocketAddress> PeerTable::livePeers(TimePoint now) const
@@ -135,7 +157,30 @@
         if (now - peer.m_lastHeartbeatAt < countedFor)
             ++count;
     }
-    return now < m_startedAt + assumedFor ? std::max(count, assumedGateways) : count;
+    const bool hasJustStarted = !m_startedAt || now < *m_startedAt + assumedFor;
+    return hasJustStarted ? std::max(count, assumedGateways) : count;
+}
+
+bool PeerTable::mayHavePeers() const
+{
+    return std::any_of(m_seeds.begin(), m_seeds.end(), [this](const SocketAddress &seed) {
+        return seed != m_local.m_gossipAddress;
+    });
+}
+
+double PeerTable::shareOfLimit(Milliseconds window, TimePoint now) const
+{
+    if (!m_startedAt)
+        return 0;
+    const Milliseconds learning = mayHavePeers() ? learningTime : Milliseconds(0);
+    if (now < m_learnsSince + learning)
+        return 0;
+    if (m_hasPredecessor && now < m_countedSince + window + learning)
+        return 0;
+    // A gateway that hears of no other one can't tell whether it is alone.
+    if (m_peers.empty() && mayHavePeers() && now < *m_startedAt + countedFor)
+        return 0;
+    return 1 / static_cast<double>(gatewayCount(now));
 }
 
 } // namespace burdockhead
--- a/src/burdockhead/gateway/peertable.h
+++ b/src/burdockhead/gateway/peertable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace burdockhead {
@@ -49,6 +50,9 @@
 public:
     PeerTable(PeerRecord localRecord, std::vector<SocketAddress> seeds, Random seed);
 
+    // Tells that this gateway has no predecessor, nor the others: all start for the first time.
+    void setFirstStart() { m_hasPredecessor = false; }
+
     void setState(PeerState state) { m_local.m_state = state; }
     void setNewestRevisions(const StoreRevisions &changes) { m_local.m_newestRevisions = changes; }
     void setSeeds(std::vector<SocketAddress> seeds) { m_seeds = std::move(seeds); }
@@ -76,6 +80,12 @@
     // recently, and at least an assumed minimum right after the start.
     std::size_t gatewayCount(TimePoint now) const;
 
+    // Returns this gateway's part of a limit over all gateways on what they do in any window of
+    // that length. 0 after the start until what its predecessor did is outside of the window and
+    // the other gateways have counted this one for as long, and after a pause of the process until
+    // it knows the gateways that have started meanwhile.
+    double shareOfLimit(Milliseconds window, TimePoint now) const;
+
 private:
     struct Peer
     {
@@ -84,11 +94,17 @@
     };
 
     bool isAlive(const Peer &peer, TimePoint now) const;
+    bool mayHavePeers() const;
+    void onFirstPeer(TimePoint now);
 
     PeerRecord m_local;
     std::vector<SocketAddress> m_seeds;
     Random m_random;
-    TimePoint m_startedAt = TimePoint::max();
+    std::optional<TimePoint> m_startedAt; // Of the first heartbeat.
+    bool m_hasPredecessor = true;
+    TimePoint m_learnsSince;  // The start, the end of the last pause, or when the first peer came.
+    TimePoint m_countedSince; // When others may have begun to count this gateway.
+    TimePoint m_lastOwnHeartbeatAt;
     std::map<ProcessName, Peer> m_peers;
 };
 
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -543,11 +543,11 @@
     const TimePoint now = Clock::now();
     const GatewayDependencies &dependencies = m_router.dependencies();
     m_triedEndpoints.push_back(m_lastEndpoint);
-    const std::size_t gateways = dependencies.m_peers.gatewayCount(now);
+    const double share = m_router.burstShare(now);
     ServiceRetryBudget &budget = m_router.limiter(m_service).retryBudget();
-    const RetryBudgetState before = budget.state(gateways, now);
+    const RetryBudgetState before = budget.state(share, now);
     const bool canRetry =
-        m_attempts < m_route.m_maxAttempts && now < m_deadline && budget.tryAcquire(gateways, now);
+        m_attempts < m_route.m_maxAttempts && now < m_deadline && budget.tryAcquire(share, now);
     dependencies.m_log.add(
         canRetry ? "retried" : "not_retried",
         {{"request", m_attributes.m_id},
@@ -556,10 +556,10 @@
          {"faulty", m_responseAttributes.m_faultyEndpoint},
          {"attempts", std::to_string(m_attempts)},
          {"max_attempts", std::to_string(m_route.m_maxAttempts)},
-         {"fleet", std::to_string(gateways)},
+         {"fleet", std::to_string(dependencies.m_peers.gatewayCount(now))},
          {"budget_requests", std::to_string(before.m_requests)},
          {"budget_retries", std::to_string(before.m_retries)},
-         {"budget_allowed", std::to_string(static_cast<unsigned>(before.m_allowed))},
+         {"budget_available", std::to_string(static_cast<int>(before.m_available))},
          {"elapsed_ms", toText(elapsed())}});
     if (canRetry) {
         m_isRepeat = true;
@@ -575,8 +575,7 @@
     if (!m_endpoint || m_route.m_kind != RouteKind::Stream || !m_route.isRepeatable()
         || dependencies.m_endpoints.slownessOf(*m_endpoint) < minSlownessToMove
         || m_attempts + 1 >= m_route.m_maxAttempts
-        || !m_router.limiter(m_service).retryBudget().tryAcquire(
-            dependencies.m_peers.gatewayCount(now), now))
+        || !m_router.limiter(m_service).retryBudget().tryAcquire(m_router.burstShare(now), now))
         return;
     dependencies.m_log.add("moved", {{"request", m_attributes.m_id},
                                      {"endpoint", m_lastEndpoint.text()},
--- a/src/burdockhead/gateway/serviceretrybudget.h
+++ b/src/burdockhead/gateway/serviceretrybudget.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include <burdockhead/gateway/slidingwindowcounter.h>
+#include <burdockhead/base/timepoint.h>
 
 #include <cstddef>
+#include <deque>
 
 namespace burdockhead {
 
@@ -20,33 +21,41 @@
 // What a gateway believes of its share of the retry budget.
 struct RetryBudgetState
 {
-    std::size_t m_requests = 0; // In the window.
-    std::size_t m_retries = 0;  // The same.
-    double m_allowed = 0;       // Retries in the window.
+    std::size_t m_requests = 0; // In the last window and the one before it.
+    std::size_t m_retries = 0;  // In the last window.
+    // Further retries that are allowed now.
+    double m_available = 0;
 
     friend bool operator==(const RetryBudgetState &, const RetryBudgetState &) = default;
 };
 
 // One gateway's share of the retry budget: its own requests earn the ratio, and the burst is
-// divided among the gateways. The shares add up to no more than the budget however much the
-// gateways know of one another, unless one underestimates their number. Protects endpoints that
-// fail while clients retry.
+// divided among the gateways. Protects endpoints that fail while clients retry.
+//
+// The platform allows the ratio of the requests in the same window or in the one before it,
+// whichever has more. Half of the requests in both together is never more than that, and adds up
+// over gateways that decide at different times, and over the runs of a gateway that is restarted.
+// So retries since any time within the last window may be the ratio of half of the requests since a
+// window before that time.
 class ServiceRetryBudget
 {
 public:
     explicit ServiceRetryBudget(const ServiceRetryBudgetOptions &options);
 
-    void recordRequest(TimePoint now) { m_requests.record(now); }
+    void recordRequest(TimePoint now) { m_requests.push_back(now); }
 
-    RetryBudgetState state(std::size_t gatewayCount, TimePoint now);
+    // Both are given this gateway's part of the burst, from 0 to 1.
+    RetryBudgetState state(double burstShare, TimePoint now);
 
     // Consumes one retry; false if the budget is exhausted.
-    bool tryAcquire(std::size_t gatewayCount, TimePoint now);
+    bool tryAcquire(double burstShare, TimePoint now);
 
 private:
+    void removeExpired(TimePoint now);
+
     ServiceRetryBudgetOptions m_options;
-    SlidingWindowCounter m_requests;
-    SlidingWindowCounter m_retries;
+    std::deque<TimePoint> m_requests; // Of two windows.
+    std::deque<TimePoint> m_retries;  // Of one window.
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/settings/processsettings.h
+++ b/src/burdockhead/settings/processsettings.h
@@ -73,6 +73,7 @@
     SocketAddress m_metrics;
     SocketAddress m_store;
     std::vector<SocketAddress> m_seeds; // Peer addresses contacted for joining.
+    bool m_isFirstStart = false;        // All gateways start for the first time.
     GatewayBounds m_bounds;
 
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -268,7 +268,10 @@
         {"seeds",
          false,
          {bindKey<S>("peers", &S::m_seeds, allowedAddressList,
-                     "Peer addresses of gateways to contact for joining")}},
+                     "Peer addresses of gateways to contact for joining"),
+          bindKey<S>("first_start", &S::m_isFirstStart, "true or false",
+                     "Whether no gateway has run here before: retries then need not wait until "
+                     "those of its predecessor are outside of the window")}},
         boundsSection()};
     return bindings;
 }
--- a/src/burdockhead/settings/valuetext.cpp
+++ b/src/burdockhead/settings/valuetext.cpp
@@ -120,6 +120,17 @@
     return true;
 }
 
+bool readValue(const std::string &text, bool &value)
+{
+    value = text == printValue(true);
+    return value || text == printValue(false);
+}
+
+std::string printValue(bool value)
+{
+    return value ? "true" : "false";
+}
+
 std::string printValue(const SocketAddress &value)
 {
     return value.m_port == 0 ? "" : value.toString();
--- a/src/burdockhead/settings/valuetext.h
+++ b/src/burdockhead/settings/valuetext.h
@@ -42,14 +42,17 @@
 bool readValue(const std::string &text, std::vector<SocketAddress> &value);
 bool readValue(const std::string &text, WebUrl &value);
 bool readValue(const std::string &text, LogLevel &value);
+bool readValue(const std::string &text, bool &value);
 std::string printValue(const SocketAddress &value);
 std::string printValue(const std::vector<SocketAddress> &value);
 std::string printValue(const WebUrl &value);
 std::string printValue(LogLevel value);
+std::string printValue(bool value);
 std::string printValue(Milliseconds value);
 
 template <typename Number>
-requires std::is_integral_v<Number> std::string printValue(Number value)
+requires(std::is_integral_v<Number> && !std::is_same_v<Number, bool>) std::string
+    printValue(Number value)
 {
     return std::to_string(value);
 }
--- a/tests/internal/gateway/test_peertable.cpp
+++ b/tests/internal/gateway/test_peertable.cpp
@@ -23,6 +23,13 @@
     return record;
 }
 
+// Lets one gateway send heartbeats that nobody answers.
+void beat(PeerTable &table, TimePoint &now, Milliseconds span)
+{
+    for (const TimePoint end = now + span; now <= end; now += heartbeatInterval)
+        table.beginHeartbeat(now);
+}
+
 // Simulates gateways that gossip over a network that loses some datagrams.
 class GossipSimulation
 {
@@ -134,6 +141,57 @@
     BOOST_TEST(table.gatewayCount(TimePoint{} + Seconds(4)) == 1U);
 }
 
+// What its predecessor used must be outside of the window by then, and all others must know it.
+BOOST_AUTO_TEST_CASE(a_gateway_that_starts_takes_its_part_of_a_limit_late)
+{
+    GossipSimulation gossip(9, 0, 1);
+    gossip.run(Seconds(10));
+    BOOST_TEST(gossip.table(5).shareOfLimit(Seconds(10), gossip.now()) == 0);
+    gossip.run(Seconds(4));
+    BOOST_TEST(gossip.table(5).shareOfLimit(Seconds(10), gossip.now()) == 1.0 / 9);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_gateway_that_starts_for_the_first_time_takes_its_part_once_it_knows_the_others)
+{
+    PeerTable table(record(1), {record(2).m_gossipAddress}, Random(1));
+    table.setFirstStart();
+    TimePoint now{Seconds(100)};
+    beat(table, now, Milliseconds(0));
+    table.receive({record(2)}, now);
+    beat(table, now, Seconds(2));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0);
+    beat(table, now, Seconds(2));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_that_stood_still_learns_the_others_before_it_takes_its_part)
+{
+    PeerTable table(record(1), {record(2).m_gossipAddress}, Random(1));
+    TimePoint now{Seconds(100)};
+    table.receive({record(2)}, now);
+    beat(table, now, Seconds(14));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0.5);
+    now += Seconds(4);
+    beat(table, now, Seconds(2));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0);
+    beat(table, now, Seconds(2));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0.5);
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_that_hears_of_no_other_takes_no_part_of_a_limit)
+{
+    PeerTable table(record(1), {record(2).m_gossipAddress}, Random(1));
+    TimePoint now{Seconds(100)};
+    beat(table, now, Seconds(60));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0);
+    table.receive({record(2)}, now);
+    beat(table, now, Seconds(10));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0);
+    beat(table, now, Seconds(4));
+    BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_gateway_is_not_listed)
 {
     PeerTable table(record(1), {}, Random(1));
--- a/tests/internal/gateway/test_serviceretrybudget.cpp
+++ b/tests/internal/gateway/test_serviceretrybudget.cpp
@@ -64,7 +64,7 @@
             if (random() % 3 == 0) {
                 gateway.recordRequest(now);
                 attempts.push_back({now, true});
-            } else if (gateway.tryAcquire(gatewayCount, now)) {
+            } else if (gateway.tryAcquire(1.0 / gatewayCount, now)) {
                 attempts.push_back({now, false});
             }
         }
--- a/tests/internal/retrybudget/retrysimulation.cpp
+++ b/tests/internal/retrybudget/retrysimulation.cpp
@@ -32,6 +32,7 @@
     , m_makeLimit(std::move(makeLimit))
     , m_random(seed)
     , m_isStarted(scenario.m_starts.size())
+    , m_isBroken(scenario.m_brokenStreams.size())
 {
     std::size_t count = scenario.m_gateways;
     for (const GatewayStart &gatewayStart : scenario.m_starts)
@@ -95,7 +96,8 @@
 {
     const TimePoint end = m_scenario.m_failing.m_until + timeAfterFailures;
     for (; m_now < end; m_now += step) {
-        applyFaults();
+        startGateways();
+        breakStreams();
         while (!m_events.empty() && m_events.top().m_at <= m_now) {
             const Event event = m_events.top();
             m_events.pop();
@@ -111,7 +113,7 @@
     std::sort(m_retryArrivals.begin(), m_retryArrivals.end());
 }
 
-void RetrySimulation::applyFaults()
+void RetrySimulation::startGateways()
 {
     for (std::size_t index = 0; index < m_scenario.m_starts.size(); ++index) {
         const GatewayStart &gatewayStart = m_scenario.m_starts[index];
@@ -126,6 +128,30 @@
     }
 }
 
+void RetrySimulation::breakStreams()
+{
+    for (std::size_t index = 0; index < m_scenario.m_brokenStreams.size(); ++index) {
+        const BrokenStreams &streams = m_scenario.m_brokenStreams[index];
+        if (m_isBroken[index] || m_now < streams.m_at)
+            continue;
+        m_isBroken[index] = true;
+        for (std::size_t stream = 0; stream < streams.m_count; ++stream) {
+            const std::size_t number = m_random() % m_gateways.size();
+            if (isRunning(number))
+                retry(number);
+        }
+    }
+}
+
+void RetrySimulation::retry(std::size_t number)
+{
+    Gateway &gateway = m_gateways[number];
+    if (gateway.m_limit->tryBegin(*gateway.m_peers, m_now))
+        gateway.m_waiting.push_back(true);
+    else
+        ++m_retriesRefused;
+}
+
 void RetrySimulation::sendRequests()
 {
     double perStep = m_scenario.m_requestsPerSecond * std::chrono::duration<double>(step).count();
@@ -194,12 +220,8 @@
     }
     if (event.m_isRetry)
         gateway.m_limit->end(m_now);
-    if (!m_scenario.m_failing.contains(m_now) || !chance(m_scenario.m_failureRate))
-        return;
-    if (gateway.m_limit->tryBegin(*gateway.m_peers, m_now))
-        gateway.m_waiting.push_back(true);
-    else
-        ++m_retriesRefused;
+    if (m_scenario.m_failing.contains(m_now) && chance(m_scenario.m_failureRate))
+        retry(event.m_gateway);
 }
 
 std::optional<BudgetWindow> RetrySimulation::findBrokenWindow() const
--- a/tests/internal/retrybudget/retrysimulation.h
+++ b/tests/internal/retrybudget/retrysimulation.h
@@ -45,6 +45,13 @@
     TimeSpan m_span;
 };
 
+// Streams that break off at the same moment, as when an endpoint of a group fails.
+struct BrokenStreams
+{
+    TimePoint m_at;
+    std::size_t m_count = 0; // Over all gateways.
+};
+
 // What happens to gateways in front of one service whose endpoints fail most requests.
 struct RetryScenario
 {
@@ -58,6 +65,7 @@
     std::vector<LoadChange> m_loadChanges;
     std::vector<GatewayStart> m_starts;
     std::vector<GatewayFreeze> m_freezes;
+    std::vector<BrokenStreams> m_brokenStreams;
     std::vector<TimeSpan> m_closures; // Requests wait in the gateways' queues meanwhile.
     ServiceRetryBudgetOptions m_budget{0.2, 88, Milliseconds(10000)};
 };
@@ -123,7 +131,9 @@
     };
 
     void start(std::size_t number);
-    void applyFaults();
+    void startGateways();
+    void breakStreams();
+    void retry(std::size_t number);
     void sendRequests();
     void advanceGateway(std::size_t number);
     void sendHeartbeat(std::size_t number);
@@ -141,6 +151,7 @@
     TimePoint m_now{Seconds(100)};
     std::vector<Gateway> m_gateways;
     std::vector<bool> m_isStarted; // Of the scenario's starts.
+    std::vector<bool> m_isBroken;  // Of the scenario's streams.
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::vector<TimePoint> m_requestTimes; // When clients sent them.
     std::vector<TimePoint> m_retryArrivals;
--- a/tests/internal/retrybudget/test_retrybudget.cpp
+++ b/tests/internal/retrybudget/test_retrybudget.cpp
@@ -14,7 +14,8 @@
 {
 public:
     explicit BudgetRetryLimit(const ServiceRetryBudgetOptions &options)
-        : m_budget(options)
+        : m_window(options.m_window)
+        , m_budget(options)
     {}
 
     void recordRequest(TimePoint now) override { m_budget.recordRequest(now); }
@@ -22,10 +23,11 @@
 
     bool tryBegin(const PeerTable &peers, TimePoint now) override
     {
-        return m_budget.tryAcquire(peers.gatewayCount(now), now);
+        return m_budget.tryAcquire(peers.shareOfLimit(m_window, now), now);
     }
 
 private:
+    const Milliseconds m_window;
     ServiceRetryBudget m_budget;
 };
 
@@ -80,4 +82,28 @@
     checkScenario(scenario);
 }
 
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_while_load_comes_in_bursts)
+{
+    RetryScenario scenario;
+    scenario.m_loadChanges = {
+        {{at(116), at(117)}, 4}, {{at(124), at(125)}, 4}, {{at(132), at(133)}, 4}};
+    checkScenario(scenario);
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_while_gateways_are_added)
+{
+    RetryScenario scenario;
+    for (std::size_t number = 6; number < 12; ++number)
+        scenario.m_starts.push_back({number, TimePoint::min(), at(118)});
+    checkScenario(scenario);
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget_while_gateways_are_frozen)
+{
+    RetryScenario scenario;
+    for (std::size_t number = 0; number < 3; ++number)
+        scenario.m_freezes.push_back({number, {at(118), at(122)}});
+    checkScenario(scenario);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -86,7 +86,8 @@
                             << "\npeers = " << peers.toString() << "\nmetrics = "
                             << (isFirst ? m_metrics : freeLoopbackAddress()).toString()
                             << "\n[store]\naddress = " << m_store.address().toString()
-                            << (isFirst ? "" : "\n[seeds]\npeers = " + m_peers.toString())
+                            << "\n[seeds]\nfirst_start = true"
+                            << (isFirst ? "" : "\npeers = " + m_peers.toString())
                             << "\n[bounds]\nretry_burst = 160\nstop_grace_s = 5\n";
     return settings;
 }
