Know at any time which bytes of a request have left the process

What callers saw: nothing yet; a request that may run once could be sent to a second endpoint although the first one had read it, and a repeat of it was not counted in the retry budget. Cause: the bytes of a connection counted as sent when their completion ran. If the end of a kept connection was read in the same round of the loop, between the write and its completion, the call ended as not sent. Evidence: a_request_that_was_written_as_its_connection_ended_was_sent failed before in each run (not sent, while the server had read the request). Change: writes are made at once on a socket that doesn't block, and wait for room only when the kernel has none, so that the count is exact.

--- a/src/burdockhead/net/tcpstream.cpp
+++ b/src/burdockhead/net/tcpstream.cpp
@@ -70,6 +70,8 @@
     const auto ip = asio::ip::make_address(address.m_host, error);
     if (!error)
         m_socket.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        m_socket.non_blocking(true, error);
     if (error) {
         asio::post(m_socket.get_executor(),
                    [self = shared_from_this()] { self->end(StreamEnd::Failed); });
@@ -124,21 +126,36 @@
             m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         return;
     }
+    // Written without a completion in between, which could come after the end of the connection is
+    // read: what has left this process is known at any time.
+    asio::error_code error;
+    while (m_sentOffset < m_sending.size() && !error) {
+        const std::size_t count = m_socket.write_some(
+            asio::buffer(m_sending.data() + m_sentOffset, m_sending.size() - m_sentOffset), error);
+        m_sentBytes += count;
+        m_sentOffset += count;
+    }
+    if (!error) {
+        send();
+        return;
+    }
     m_isSending = true;
-    m_socket.async_write_some(
-        asio::buffer(m_sending.data() + m_sentOffset, m_sending.size() - m_sentOffset),
-        [self = shared_from_this()](const asio::error_code &error, std::size_t count) {
-            self->m_isSending = false;
-            self->m_sentBytes += count;
-            if (self->m_owner == nullptr)
-                return;
-            if (error) {
-                self->end(StreamEnd::Failed);
-                return;
-            }
-            self->m_sentOffset += count;
-            self->send();
-        });
+    if (error != asio::error::would_block) {
+        asio::post(m_socket.get_executor(),
+                   [self = shared_from_this()] { self->end(StreamEnd::Failed); });
+        return;
+    }
+    m_socket.async_wait(asio::ip::tcp::socket::wait_write,
+                        [self = shared_from_this()](const asio::error_code &failure) {
+                            self->m_isSending = false;
+                            if (self->m_owner == nullptr)
+                                return;
+                            if (failure) {
+                                self->end(StreamEnd::Failed);
+                                return;
+                            }
+                            self->send();
+                        });
 }
 
 void TcpStream::Private::end(StreamEnd end)
@@ -176,6 +193,8 @@
     auto d = std::make_shared<Private>(loop, owner);
     asio::error_code error;
     d->m_socket.assign(asio::ip::tcp::v4(), descriptor, error);
+    if (!error)
+        d->m_socket.non_blocking(true, error);
     d->m_connected = !error;
     setTimeouts(descriptor);
     // Reading begins later, so that the owner is whole by then.
--- a/tests/internal/net/test_httpclientpool.cpp
+++ b/tests/internal/net/test_httpclientpool.cpp
@@ -28,6 +28,13 @@
         m_scripts.push_back({std::move(bytes), thenCloses});
     }
 
+    // Closes the writing side of all connections, and goes on reading.
+    void finishWriting()
+    {
+        for (const auto &connection : m_connections)
+            connection->m_stream->finishWriting();
+    }
+
     const SocketAddress &address() const { return m_address; }
     std::size_t connections() const { return m_connections.size(); }
     std::size_t requests() const { return m_requests; }
@@ -161,6 +168,20 @@
     BOOST_TEST(!inProgress->hasSent());
 }
 
+// The end of the connection is read after the request was written, in the same round of the loop.
+BOOST_AUTO_TEST_CASE(a_request_that_was_written_as_its_connection_ended_was_sent)
+{
+    m_server.answerWith(wholeAnswer, false);
+    Observer first;
+    BOOST_TEST((end(first) == CallEnd::Complete));
+    m_server.finishWriting();
+    Observer second;
+    std::unique_ptr<HttpCall> inProgress;
+    m_loop.post([&] { inProgress = call(second); });
+    runUntil(m_loop, [&] { return second.m_end.has_value() && m_server.requests() == 2; });
+    BOOST_TEST((*second.m_end == CallEnd::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(answers_that_are_cut_short_or_not_http_are_no_answers)
 {
     m_server.answerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", true);
