Apply reloaded retry bounds to services in use

What callers saw: after a reload with a smaller retry budget, services that had had requests kept the budget from the start of the process. Cause: the budget took its bounds when the service's limiter was made. Found while looking for the cause of budget-retries elsewhere: a limit counted by settings of another time. Change: the bounds are set with each refresh of the capacity, also right after a reload.

--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -72,15 +72,18 @@
     const auto found = m_limiters.find(service);
     if (found != m_limiters.end())
         return found->second;
-    const ServiceRetryBudgetOptions options = {m_dependencies.m_bounds.m_retryRatio,
-                                               m_dependencies.m_bounds.m_retryBurst,
-                                               m_dependencies.m_bounds.m_retryWindow};
     ServiceLimiter &serviceLimiter =
-        m_limiters.emplace(service, ServiceLimiter(options)).first->second;
+        m_limiters.emplace(service, ServiceLimiter(retryBudgetOptions())).first->second;
     updateCapacity(service, serviceLimiter);
     return serviceLimiter;
 }
 
+ServiceRetryBudgetOptions CallRouter::retryBudgetOptions() const
+{
+    const GatewayBounds &bounds = m_dependencies.m_bounds;
+    return {bounds.m_retryRatio, bounds.m_retryBurst, bounds.m_retryWindow};
+}
+
 double CallRouter::burstShare(TimePoint now) const
 {
     return m_dependencies.m_peers.shareOfLimit(m_dependencies.m_bounds.m_retryWindow, now);
@@ -105,6 +108,7 @@
         gateways > elsewhere.m_gateways + 1 ? gateways - elsewhere.m_gateways - 1 : 0;
     capacity.m_minShare = minShare;
     serviceLimiter.setCapacity(capacity);
+    serviceLimiter.retryBudget().setOptions(retryBudgetOptions());
 }
 
 std::vector<ServiceLoad> CallRouter::load() const
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -88,6 +88,7 @@
     BufferBudget &responseBuffers() { return m_responseBuffers; }
 
 private:
+    ServiceRetryBudgetOptions retryBudgetOptions() const;
     void updateCapacity(const GroupName &service, ServiceLimiter &serviceLimiter);
     void scheduleDispatch(const GroupName &service);
 
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -206,6 +206,7 @@
     m_settings.m_bounds = settings->m_bounds;
     m_settings.m_seeds = settings->m_seeds;
     m_peers.setSeeds(settings->m_seeds);
+    m_router.refresh();
     m_log.add("reloaded", {{"seeds", std::to_string(settings->m_seeds.size())}});
 }
 
--- a/src/burdockhead/gateway/serviceretrybudget.h
+++ b/src/burdockhead/gateway/serviceretrybudget.h
@@ -44,6 +44,8 @@
 public:
     explicit ServiceRetryBudget(const ServiceRetryBudgetOptions &options);
 
+    void setOptions(const ServiceRetryBudgetOptions &options) { m_options = options; }
+
     void recordRequest(TimePoint now) { m_requests.push_back(now); }
 
     // Both are given this gateway's part of the burst, from 0 to 1.
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -4,7 +4,9 @@
 #include <burdockhead/http/httprequest.h>
 #include <burdockhead/net/httpwriting.h>
 
+#include <csignal>
 #include <fstream>
+#include <iterator>
 
 namespace burdockhead::test {
 
@@ -75,7 +77,7 @@
 
 std::string GatewayFixture::writeSettings(const std::string &name, const SocketAddress &clients,
                                           const SocketAddress &peers,
-                                          const SocketAddress &readiness)
+                                          const SocketAddress &readiness) const
 {
     const bool isFirst = peers == m_peers;
     std::string settings = m_folder / (name + ".ini");
@@ -88,7 +90,8 @@
                             << "\n[store]\naddress = " << m_store.address().toString()
                             << "\n[seeds]\nfirst_start = true"
                             << (isFirst ? "" : "\npeers = " + m_peers.toString())
-                            << "\n[bounds]\nretry_burst = 160\nstop_grace_s = 5\n";
+                            << "\n[bounds]\nretry_burst = " << m_retryBurst
+                            << "\nstop_grace_s = 5\n";
     return settings;
 }
 
@@ -106,6 +109,20 @@
     m_gateway = startProcess("gateway", writeSettings("g1", m_clients, m_peers, m_readiness));
 }
 
+void GatewayFixture::reload()
+{
+    writeSettings("g1", m_clients, m_peers, m_readiness);
+    m_gateway->signal(SIGHUP);
+    const auto hasReloaded = [&] {
+        std::ifstream log(m_folder / "gateway.log");
+        const std::string text{std::istreambuf_iterator<char>(log), {}};
+        return text.find("event=reloaded") != std::string::npos;
+    };
+    for (int attempt = 0; attempt < 200 && !hasReloaded(); ++attempt)
+        waitFor(Milliseconds(20));
+    BOOST_REQUIRE(hasReloaded());
+}
+
 GatewayFixture::FurtherGateway GatewayFixture::startFurtherGateway(const std::string &name)
 {
     FurtherGateway gateway;
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -56,6 +56,9 @@
 
     void startGateway();
 
+    // Writes the settings of the first gateway again and waits until it has read them.
+    void reload();
+
     // A further gateway, which knows the first one as a seed.
     struct FurtherGateway
     {
@@ -98,13 +101,14 @@
     SocketAddress m_clients;
     SocketAddress m_peers;
     SocketAddress m_metrics;
+    int m_retryBurst = 160;         // In the settings of gateways.
     std::filesystem::path m_folder; // For settings and logs; removed at the end.
 
 private:
     std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
                                      const HttpHeaders &furtherHeaders);
     std::string writeSettings(const std::string &name, const SocketAddress &clients,
-                              const SocketAddress &peers, const SocketAddress &readiness);
+                              const SocketAddress &peers, const SocketAddress &readiness) const;
     std::unique_ptr<ChildProcess> startProcess(const std::string &name,
                                                const std::string &settings) const;
     std::unique_ptr<ClientCall> query(const SocketAddress &address, const std::string &target);
--- a/tests/public/gateway/test_gatewayprocess.cpp
+++ b/tests/public/gateway/test_gatewayprocess.cpp
@@ -562,4 +562,19 @@
     BOOST_TEST(m_gateway->running());
 }
 
+BOOST_AUTO_TEST_CASE(a_reload_changes_the_retry_budget_of_services_in_use)
+{
+    m_retryBurst = 1600;
+    start();
+    m_app[0]->misbehave(Misbehaviour::Refuse);
+    for (int count = 0; count < 4; ++count)
+        BOOST_TEST(request("GET", "/safe/x")->status() == 200);
+    m_retryBurst = 0;
+    reload();
+    std::size_t refused = 0;
+    for (int count = 0; count < 30; ++count)
+        refused += request("GET", "/safe/x")->status() == 503 ? 1 : 0;
+    BOOST_TEST(refused > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
