Read the rate that an endpoint names, and log when it is learned and ends

A response's rate is read in the adapter: a plain decimal number, else it is ignored with a log line. Nothing is limited yet.

--- a/src/burdockhead/gateway/callprotocol.h
+++ b/src/burdockhead/gateway/callprotocol.h
@@ -48,6 +48,10 @@
     bool m_isEncoded = false;     // The body is not as the endpoint produced it.
     std::string m_weightsVersion; // Version of the model's weights; empty if not stated.
     std::string m_faultyEndpoint; // The endpoint whose failure is reported; empty if not stated.
+    // Requests that the endpoint takes from all gateways together; none if it names no limit, or
+    // one that can't be read.
+    std::optional<double> m_requestsPerSecond;
+    bool m_isRateUnreadable = false;
 
     friend bool operator==(const ResponseAttributes &, const ResponseAttributes &) = default;
 };
--- a/src/burdockhead/gateway/callrouter.cpp
+++ b/src/burdockhead/gateway/callrouter.cpp
@@ -27,6 +27,22 @@
 // Delay until dispatch is retried for queued calls that no endpoint accepted.
 constexpr Milliseconds dispatchRetryDelay{25};
 
+// Returns the event of the log; null if nothing has changed.
+const char *toEvent(RateChange change)
+{
+    switch (change) {
+    case RateChange::Learned:
+        return "rate_learned";
+    case RateChange::Changed:
+        return "rate_changed";
+    case RateChange::Ended:
+        return "rate_ended";
+    case RateChange::None:
+        break;
+    }
+    return nullptr;
+}
+
 } // namespace
 
 CallRouter::CallRouter(const GatewayDependencies &dependencies, Random seed)
@@ -165,6 +181,20 @@
         call->moveFromSlowEndpoint();
 }
 
+void CallRouter::recordRate(const RateStatement &statement, const char *source)
+{
+    const RateChange change = m_dependencies.m_rates.record(statement);
+    const char *event = toEvent(change);
+    if (event == nullptr)
+        return;
+    const auto age =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - statement.m_respondedAt);
+    m_dependencies.m_log.add(event, {{"endpoint", statement.m_endpoint.m_name.text()},
+                                     {"rate", rateText(statement.m_requestsPerSecond)},
+                                     {"source", source},
+                                     {"age_ms", std::to_string(age.count())}});
+}
+
 void CallRouter::enqueue(const GroupName &service, const QueuedCall &queuedCall)
 {
     limiter(service).queue().push(queuedCall);
--- a/src/burdockhead/gateway/callrouter.h
+++ b/src/burdockhead/gateway/callrouter.h
@@ -13,6 +13,7 @@
 #include <burdockhead/observe/linesink.h>
 #include <burdockhead/observe/metrics.h>
 #include <burdockhead/quarantine/promptguard.h>
+#include <burdockhead/ratelimit/endpointrates.h>
 
 #include <map>
 #include <memory>
@@ -32,6 +33,7 @@
     PeerTable &m_peers;
     LoadTable &m_loads;
     PromptGuard &m_promptGuard;
+    EndpointRates &m_rates;
     LineSink &m_log;
     Metrics &m_metrics;
     const GatewayBounds &m_bounds;
@@ -74,6 +76,9 @@
     // Returns the requests of each service that has any.
     std::vector<ServiceLoad> load() const;
 
+    // Records what an endpoint or another gateway says of an endpoint's rate.
+    void recordRate(const RateStatement &statement, const char *source);
+
     // Used by ProxiedCall.
     const GatewayDependencies &dependencies() const { return m_dependencies; }
     ServiceLimiter &limiter(const GroupName &service);
--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -85,6 +85,7 @@
     PeerTable m_peers;
     LoadTable m_loads;
     PromptGuard m_promptGuard;
+    EndpointRates m_rates;
     RankReports m_rankReports;
     PeerLink m_peerLink;
     CallRouter m_router;
@@ -112,7 +113,7 @@
     , m_promptGuard(settings.m_name)
     , m_peerLink(m_loop, m_peers, m_loads, m_promptGuard)
     , m_router({m_loop, m_endpointClient, protocols.m_calls, m_endpoints, m_peers, m_loads,
-                m_promptGuard, m_log, m_metrics, m_settings.m_bounds},
+                m_promptGuard, m_rates, m_log, m_metrics, m_settings.m_bounds},
                Random(systemSeed()))
     , m_storeUpdates(
           {m_loop, m_storeClient, protocols.m_store, m_settings.m_store, m_endpoints, m_peers,
@@ -181,6 +182,7 @@
 {
     m_storeUpdates.refresh(Clock::now());
     m_endpoints.removeExpired(Clock::now());
+    m_rates.removeExpired(Clock::now());
     m_router.refresh();
     updateLoads();
     updateQuarantines();
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -289,6 +289,7 @@
                                     {"repeat", m_isRepeat ? "yes" : "no"},
                                     {"attempt", std::to_string(m_attempts + 1)},
                                     {"in_flight", std::to_string(m_endpoint->m_inFlight)},
+                                    {"rate", rateText(dependencies.m_rates.rateOf(endpointRun()))},
                                     {"config", std::to_string(m_configurationVersion)},
                                     {"parts", toText(m_attributes.m_promptParts)},
                                     {"apart", m_isIsolated ? "yes" : "no"},
@@ -346,6 +347,21 @@
         promptGuard.recordGone({EndpointName(faulty), 0}, Clock::now());
 }
 
+// A response of another endpoint at the address says nothing of this one.
+void ProxiedCall::reportRate()
+{
+    if (m_responseHead->m_status == misdirectedStatus)
+        return;
+    if (m_responseAttributes.m_isRateUnreadable) {
+        m_router.dependencies().m_log.add("rate_unreadable", {{"request", m_attributes.m_id},
+                                                              {"endpoint", m_lastEndpoint.text()}});
+        return;
+    }
+    m_router.recordRate(
+        {endpointRun(), m_responseAttributes.m_requestsPerSecond, m_times.sentAt(), Clock::now()},
+        "response");
+}
+
 void ProxiedCall::reportSoundness(bool isComplete)
 {
     const TimePoint now = Clock::now();
@@ -374,6 +390,7 @@
     m_responseHead = head;
     endRetry(true);
     reportResponse();
+    reportRate();
     m_isStreaming = m_route.m_kind == RouteKind::Stream && head.m_status == 200
                     && m_responseAttributes.m_isSigned;
     if (!m_isStreaming)
--- a/src/burdockhead/gateway/proxiedcall.h
+++ b/src/burdockhead/gateway/proxiedcall.h
@@ -68,6 +68,7 @@
     EndpointRun endpointRun() const;
     void reportBroken();
     void reportResponse();
+    void reportRate();
     void reportSoundness(bool isComplete);
     void clearResponseBody();
 
--- a/src/burdockhead/quarantine/crashreport.h
+++ b/src/burdockhead/quarantine/crashreport.h
@@ -1,25 +1,14 @@
 #pragma once
 
+#include <burdockhead/base/endpointrun.h>
 #include <burdockhead/base/name.h>
 #include <burdockhead/base/timepoint.h>
 
-#include <compare>
-#include <cstdint>
 #include <set>
 #include <string>
 
 namespace burdockhead {
 
-// One run of an endpoint, which may start again under its name.
-struct EndpointRun
-{
-    EndpointName m_name;
-    std::uint64_t m_startedAt = 0; // In milliseconds since 1970; 0 if unknown.
-
-    friend bool operator==(const EndpointRun &, const EndpointRun &) = default;
-    friend std::strong_ordering operator<=>(const EndpointRun &, const EndpointRun &) = default;
-};
-
 // What one gateway, or several together, know of the crash of an endpoint.
 struct CrashReport
 {
--- a/tests/platform/test_platformcallprotocol.cpp
+++ b/tests/platform/test_platformcallprotocol.cpp
@@ -115,4 +115,40 @@
     BOOST_TEST(!protocol.isReadinessRequest(addressRequest));
 }
 
+BOOST_AUTO_TEST_CASE(the_rate_that_an_endpoint_names_is_read)
+{
+    for (const auto &[text, rate] :
+         {std::pair("2.2", 2.2), std::pair("0", 0.0), std::pair("20", 20.0), std::pair(".5", 0.5),
+          std::pair("007", 7.0)}) {
+        HttpHead head;
+        head.m_headers = {{"Server-Limit", text}};
+        const ResponseAttributes attributes = protocol.parseResponse(head);
+        BOOST_TEST(!attributes.m_isRateUnreadable);
+        BOOST_REQUIRE(attributes.m_requestsPerSecond.has_value());
+        BOOST_TEST(*attributes.m_requestsPerSecond == rate);
+    }
+    const ResponseAttributes none = protocol.parseResponse(HttpHead());
+    BOOST_TEST(!none.m_requestsPerSecond.has_value());
+    BOOST_TEST(!none.m_isRateUnreadable);
+}
+
+BOOST_AUTO_TEST_CASE(a_rate_that_is_no_plain_decimal_number_is_ignored)
+{
+    for (const std::string &text :
+         {std::string(), std::string("-1"), std::string("+1"), std::string("nan"),
+          std::string("inf"), std::string("1e3"), std::string("0x10"), std::string("1,5"),
+          std::string("1.2.3"), std::string("."), std::string(" 2"), std::string("2 per second"),
+          std::string(10240, '9')}) {
+        HttpHead head;
+        head.m_headers = {{"Server-Limit", text}};
+        const ResponseAttributes attributes = protocol.parseResponse(head);
+        BOOST_TEST(!attributes.m_requestsPerSecond.has_value(), "'" << text.substr(0, 20) << "'");
+        BOOST_TEST(attributes.m_isRateUnreadable, "'" << text.substr(0, 20) << "'");
+    }
+    HttpHead twice;
+    twice.m_headers = {{"Server-Limit", "2"}, {"server-limit", "3"}};
+    BOOST_TEST(!protocol.parseResponse(twice).m_requestsPerSecond.has_value());
+    BOOST_TEST(protocol.parseResponse(twice).m_isRateUnreadable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
