--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -173,7 +173,7 @@
                                                  const std::string &credential,
                                                  Milliseconds remainingTime)
 {
-    return call(method, path,
+    return call(m_clients, method, path,
                 HttpHeaders{{"X-Deadline-Ms", std::to_string(remainingTime.count())},
                             {"Authorization", "Token " + credential}});
 }
@@ -181,13 +181,22 @@
 std::unique_ptr<ClientCall> GatewayFixture::callWithPrompt(const std::string &path,
                                                            const std::string &parts)
 {
-    return call("POST", path,
+    return call(m_clients, "POST", path,
                 HttpHeaders{{"X-Deadline-Ms", "3000"},
                             {"Authorization", "Token key"},
                             {"X-Prompt-Prefix", parts}});
 }
 
-std::unique_ptr<ClientCall> GatewayFixture::call(const std::string &method, const std::string &path,
+std::unique_ptr<ClientCall> GatewayFixture::callAt(const SocketAddress &gateway,
+                                                   const std::string &method,
+                                                   const std::string &path)
+{
+    return call(gateway, method, path,
+                HttpHeaders{{"X-Deadline-Ms", "3000"}, {"Authorization", "Token key"}});
+}
+
+std::unique_ptr<ClientCall> GatewayFixture::call(const SocketAddress &gateway,
+                                                 const std::string &method, const std::string &path,
                                                  const HttpHeaders &furtherHeaders)
 {
     HttpHeaders headers = {{"Host", "h.example"},
@@ -195,7 +204,7 @@
                            {"X-Model", "m"},
                            {"X-Tenant", "forged"}};
     headers.insert(headers.end(), furtherHeaders.begin(), furtherHeaders.end());
-    return std::make_unique<ClientCall>(m_pool, m_clients, method, path, headers,
+    return std::make_unique<ClientCall>(m_pool, gateway, method, path, headers,
                                         method == "POST" ? "body" : "");
 }
 
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -80,6 +80,10 @@
                                      const std::string &credential = "key",
                                      Milliseconds remainingTime = Milliseconds(3000));
 
+    // Sends a request to that gateway.
+    std::unique_ptr<ClientCall> callAt(const SocketAddress &gateway, const std::string &method,
+                                       const std::string &path);
+
     // Sends a stream whose prompt has these parts, "ID:TOKENS" separated by commas.
     std::unique_ptr<ClientCall> callWithPrompt(const std::string &path, const std::string &parts);
 
@@ -105,8 +109,8 @@
     std::filesystem::path m_folder; // For settings and logs; removed at the end.
 
 private:
-    std::unique_ptr<ClientCall> call(const std::string &method, const std::string &path,
-                                     const HttpHeaders &furtherHeaders);
+    std::unique_ptr<ClientCall> call(const SocketAddress &gateway, const std::string &method,
+                                     const std::string &path, const HttpHeaders &furtherHeaders);
     std::string writeSettings(const std::string &name, const SocketAddress &clients,
                               const SocketAddress &peers, const SocketAddress &readiness) const;
     std::unique_ptr<ChildProcess> startProcess(const std::string &name,
--- a/tests/standins/fleet/endpointstandin.cpp
+++ b/tests/standins/fleet/endpointstandin.cpp
@@ -86,7 +86,16 @@
 {
     const std::string request =
         m_behaviour == Misbehaviour::Foreign ? "another" : header(exchange.head(), "X-Request-Id");
-    return {{"X-Request-Id", request}, {"X-Response-Seal", "seal." + m_id + "." + request}};
+    HttpHeaders headers = {{"X-Request-Id", request},
+                           {"X-Response-Seal", "seal." + m_id + "." + request}};
+    addRate(headers);
+    return headers;
+}
+
+void EndpointStandIn::addRate(HttpHeaders &headers) const
+{
+    if (!m_rate.empty())
+        headers.push_back({"Server-Limit", m_rate});
 }
 
 void EndpointStandIn::handle(const std::shared_ptr<HttpExchange> &exchange)
@@ -97,9 +106,12 @@
         exchange->answer(421, {{"X-Instance-Id", m_id}}, "");
         return;
     }
+    m_arrivals.push_back(Clock::now());
     if (m_behaviour == Misbehaviour::Refuse) {
         ++m_refused;
-        exchange->answer(503, {{"X-Not-Executed", "1"}}, "");
+        HttpHeaders headers = {{"X-Not-Executed", "1"}};
+        addRate(headers);
+        exchange->answer(503, headers, "");
         return;
     }
     m_ran.push_back({exchange->head(), exchange->body(), Clock::now()});
--- a/tests/standins/fleet/endpointstandin.h
+++ b/tests/standins/fleet/endpointstandin.h
@@ -46,6 +46,9 @@
     // Does so with the next requests.
     void misbehave(Misbehaviour behaviour) { m_behaviour = behaviour; }
 
+    // Names this rate in each answer, whatever it takes; an empty one names none.
+    void nameRate(const std::string &rate) { m_rate = rate; }
+
     // Waits before each answer, and between events.
     void setDelay(Milliseconds delay) { m_delay = delay; }
 
@@ -61,6 +64,9 @@
 
     const std::vector<RanRequest> &ran() const { return m_ran; }
     std::size_t refused() const { return m_refused; }
+
+    // When requests arrived, refused ones too, but for those that were sent to another endpoint.
+    const std::vector<TimePoint> &arrivals() const { return m_arrivals; }
     std::size_t clientsGone() const { return m_clientsGone; }
 
     // The events of a stream from the first to the last, as bytes.
@@ -76,6 +82,7 @@
     void run(const std::shared_ptr<HttpExchange> &exchange);
     void stream(const std::shared_ptr<HttpExchange> &exchange, int next);
     HttpHeaders answerHeaders(const HttpExchange &exchange) const;
+    void addRate(HttpHeaders &headers) const;
 
     EventLoop &m_loop;
     std::string m_id;
@@ -88,7 +95,9 @@
     std::size_t m_crashes = 0;
     Misbehaviour m_behaviour = Misbehaviour::None;
     Milliseconds m_delay{0};
+    std::string m_rate;
     std::vector<RanRequest> m_ran;
+    std::vector<TimePoint> m_arrivals;
     std::vector<std::shared_ptr<HttpExchange>> m_hanging;
     std::size_t m_refused = 0;
     std::size_t m_clientsGone = 0;
