--- a/review/standins.py
+++ b/review/standins.py
@@ -353,10 +353,12 @@
         try:
             while True:
                 first, _, body = await read_message(reader)
+                method, target, _ = first.split(" ")
                 if copy is not None:
+                    self.group.record.line(f"{self.group.name} rank {self.number}: second copy of "
+                                           f"the last answer comes before that to {target}")
                     writer.write(copy)
                     copy = None
-                method, target, _ = first.split(" ")
                 if target == "/-/order":
                     status, answer = self.order(json.loads(body)), b""
                     if status is None:
