--- a/src/burdockhead/rankagent/maprollout.cpp
+++ b/src/burdockhead/rankagent/maprollout.cpp
@@ -36,27 +36,16 @@
     return step;
 }
 
-// Returns the earliest held step that the group has not started; none without a hold.
+// Returns the held step that the group has not started; none without a hold. The last rank's hold
+// comes first, since coordinators order no other rank to hold the group.
 std::optional<std::uint64_t> heldStep(const std::vector<RankSnapshot> &snapshots)
 {
     const std::uint64_t latestStarted = latestStartedStep(snapshots);
-    std::optional<std::uint64_t> held;
-    for (const RankSnapshot &snapshot : snapshots) {
-        if (snapshot.m_heldStep && *snapshot.m_heldStep > latestStarted)
-            held = std::min(held.value_or(*snapshot.m_heldStep), *snapshot.m_heldStep);
-    }
-    return held;
-}
-
-// Resumes the group at each rank that holds it.
-void resumeGroup(const std::vector<RankSnapshot> &snapshots, std::uint64_t step,
-                 RolloutDecision &decision)
-{
-    for (const RankSnapshot &snapshot : snapshots) {
-        if (snapshot.m_heldStep == step)
-            decision.m_orders.push_back(
-                {snapshot.m_rank, RankOrderType::Resume, snapshot.m_epoch, 0, step});
+    for (auto snapshot = snapshots.rbegin(); snapshot != snapshots.rend(); ++snapshot) {
+        if (snapshot->m_heldStep && *snapshot->m_heldStep > latestStarted)
+            return snapshot->m_heldStep;
     }
+    return std::nullopt;
 }
 
 // The last rank holds the group: the coordinator runs beside rank 0, and when its VM freezes a
@@ -73,6 +62,17 @@
     });
 }
 
+// Returns the armed map with the highest version; none when no rank is armed.
+std::optional<ArmedMap> newestArmedMap(const std::vector<RankSnapshot> &snapshots)
+{
+    std::optional<ArmedMap> newest;
+    for (const RankSnapshot &snapshot : snapshots) {
+        if (snapshot.m_armed && (!newest || snapshot.m_armed->m_version > newest->m_version))
+            newest = snapshot.m_armed;
+    }
+    return newest;
+}
+
 // Returns the earliest step for which any rank is armed; none when no rank is.
 std::optional<std::uint64_t> firstArmedStep(const std::vector<RankSnapshot> &snapshots)
 {
@@ -84,29 +84,42 @@
     return first;
 }
 
-void addPrepareOrders(const std::vector<RankSnapshot> &snapshots, std::uint64_t version,
-                      RolloutDecision &decision)
+// Resumes the group at each rank that holds it up to the step for which all ranks are armed.
+void resumeArmedGroup(const std::vector<RankSnapshot> &snapshots, RolloutDecision &decision)
 {
     for (const RankSnapshot &snapshot : snapshots) {
-        if (snapshot.m_preparedVersion != version)
-            decision.m_orders.push_back(
-                {snapshot.m_rank, RankOrderType::Prepare, snapshot.m_epoch, version, 0});
+        if (snapshot.m_heldStep && *snapshot.m_heldStep <= snapshot.m_armed->m_step)
+            decision.m_orders.push_back({snapshot.m_rank, RankOrderType::Resume, snapshot.m_epoch,
+                                         0, *snapshot.m_heldStep});
     }
 }
 
-// Arms rank 0 only after all others. While any other rank isn't armed, rank 0 is then known not to
-// be armed either.
-void armOrResume(const std::vector<RankSnapshot> &snapshots, const ArmedMap &armed,
-                 RolloutDecision &decision)
+// Disarms the ranks whose armed version can't be armed on all ranks any more, since another rank
+// has a higher one.
+void disarmSuperseded(const std::vector<RankSnapshot> &snapshots, RolloutDecision &decision)
 {
+    const std::uint64_t highest = MapRollout::nextVersion(snapshots) - 1;
+    for (const RankSnapshot &snapshot : snapshots) {
+        if (snapshot.m_armed && snapshot.m_armed->m_version < highest)
+            decision.m_orders.push_back({snapshot.m_rank, RankOrderType::Disarm, snapshot.m_epoch,
+                                         snapshot.m_armed->m_version, 0});
+    }
+}
+
+// Arms the ranks that have prepared the map and aren't armed yet, rank 0 only after all others. A
+// rank that has prepared another map is beyond this version, as its next snapshots will show.
+void arm(const std::vector<RankSnapshot> &snapshots, const ArmedMap &armed,
+         RolloutDecision &decision)
+{
+    bool areOthersArmed = true;
     for (auto snapshot = snapshots.rbegin(); snapshot != snapshots.rend(); ++snapshot) {
-        const bool isDeferred = snapshot->m_rank == 0 && !decision.m_orders.empty();
-        if (snapshot->m_armed != armed && !isDeferred)
+        if (snapshot->m_armed || (snapshot->m_rank == 0 && !areOthersArmed))
+            continue;
+        areOthersArmed = false;
+        if (snapshot->m_preparedVersion == armed.m_version)
             decision.m_orders.push_back({snapshot->m_rank, RankOrderType::Arm, snapshot->m_epoch,
                                          armed.m_version, armed.m_step});
     }
-    if (decision.m_orders.empty())
-        resumeGroup(snapshots, armed.m_step, decision);
 }
 
 } // namespace
@@ -138,14 +151,17 @@
     return isCommon ? first : std::nullopt;
 }
 
-void MapRollout::disarm(const std::vector<RankSnapshot> &snapshots, RolloutDecision &decision)
+// Orders the ranks that haven't prepared the version to do so. Armed ones would refuse.
+void MapRollout::prepare(const std::vector<RankSnapshot> &snapshots, std::uint64_t version,
+                         RolloutDecision &decision)
 {
     for (const RankSnapshot &snapshot : snapshots) {
-        if (!snapshot.m_armed)
+        if (snapshot.m_preparedVersion == version || snapshot.m_armed)
             continue;
-        m_highestRetiredVersion = std::max(m_highestRetiredVersion, snapshot.m_armed->m_version);
-        decision.m_orders.push_back({snapshot.m_rank, RankOrderType::Disarm, snapshot.m_epoch,
-                                     snapshot.m_armed->m_version, 0});
+        decision.m_orders.push_back(
+            {snapshot.m_rank, RankOrderType::Prepare, snapshot.m_epoch, version, 0});
+        if (snapshot.m_rank == 0)
+            m_highestVersionForRank0 = std::max(m_highestVersionForRank0, version);
     }
 }
 
@@ -155,25 +171,29 @@
 {
     RolloutDecision decision;
     decision.m_isHoldInProgress = true;
-    if (const auto version = commonPreparedVersion(snapshots)) {
-        const ArmedMap armed = {*version, step};
-        const bool isArmedOtherwise =
-            std::any_of(snapshots.begin(), snapshots.end(), [&](const RankSnapshot &snapshot) {
-                return snapshot.m_armed && *snapshot.m_armed != armed;
-            });
-        if (!isArmedOtherwise) {
-            armOrResume(snapshots, armed, decision);
-            return decision;
-        }
+    if (isArmedAlike(snapshots)) {
+        resumeArmedGroup(snapshots, decision);
+        return decision;
     }
-    disarm(snapshots, decision);
+    disarmSuperseded(snapshots, decision);
     if (!decision.m_orders.empty())
         return decision;
+    const RankSnapshot &holder = snapshots.back();
+    const auto armed = newestArmedMap(snapshots);
+    const auto version = armed ? std::optional(armed->m_version) : commonPreparedVersion(snapshots);
+    if (version) {
+        const ArmedMap next = {*version, step};
+        if (holder.m_heldStep != step)
+            decision.m_orders.push_back(holdOrder(snapshots, step));
+        else if (armed.value_or(next) == next)
+            arm(snapshots, next, decision);
+        return decision;
+    }
     // Ranks that report nothing prepared may be loading a map that another coordinator will arm, so
     // the group is resumed only after all are armed with this coordinator's map.
     if (plannedVersion && *plannedVersion >= nextVersion(snapshots) - 1
         && *plannedVersion > m_highestRetiredVersion)
-        addPrepareOrders(snapshots, *plannedVersion, decision);
+        prepare(snapshots, *plannedVersion, decision);
     else
         decision.m_needsPlan = true;
     return decision;
@@ -188,28 +208,31 @@
 {
     RolloutDecision decision;
     decision.m_isHoldInProgress = true;
-    if (isArmedAlike(snapshots))
+    const RankSnapshot &holder = snapshots.back();
+    if (isArmedAlike(snapshots) || holder.m_heldStep != step || !holder.m_sequence)
         return decision;
-    const HoldWithoutRank0 hold = {snapshots.front().m_epoch, step};
+    const HoldWithoutRank0 hold = {holder.m_epoch, step};
     if (m_lastHoldWithoutRank0 != hold) {
         m_lastHoldWithoutRank0 = hold;
         m_highestRetiredVersion = std::max(m_highestRetiredVersion, nextVersion(snapshots) - 1);
     }
-    disarm(snapshots, decision);
-    if (!decision.m_orders.empty())
-        return decision;
-    if (!plannedVersion || *plannedVersion <= m_highestRetiredVersion) {
+    if (!plannedVersion
+        || *plannedVersion <= std::max(m_highestRetiredVersion, m_highestVersionForRank0)) {
         decision.m_needsPlan = true;
         return decision;
     }
-    addPrepareOrders(snapshots, *plannedVersion, decision);
-    if (decision.m_orders.empty())
-        resumeGroup(snapshots, step, decision);
+    disarmSuperseded(snapshots, decision);
+    prepare(snapshots, *plannedVersion, decision);
+    if (decision.m_orders.empty() && !newestArmedMap(snapshots)) {
+        m_highestRetiredVersion = *plannedVersion;
+        decision.m_orders.push_back(
+            {holder.m_rank, RankOrderType::Resume, holder.m_epoch, 0, step, holder.m_sequence});
+    }
     return decision;
 }
 
 RolloutDecision MapRollout::nextWhileRunning(const std::vector<RankSnapshot> &snapshots,
-                                             std::optional<std::uint64_t> plannedVersion) const
+                                             std::optional<std::uint64_t> plannedVersion)
 {
     RolloutDecision decision;
     const RankSnapshot &first = snapshots.front();
@@ -233,7 +256,7 @@
             holdOrder(snapshots, latestStartedStep(snapshots) + holdLeadSteps));
         decision.m_isHoldInProgress = true;
     } else {
-        addPrepareOrders(snapshots, *plannedVersion, decision);
+        prepare(snapshots, *plannedVersion, decision);
     }
     return decision;
 }
--- a/src/burdockhead/rankagent/maprollout.h
+++ b/src/burdockhead/rankagent/maprollout.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace burdockhead {
@@ -29,14 +30,20 @@
 // armed, that is, ordered to use the prepared map from that step on, rank 0 after the others. The
 // group resumes when all report that they are armed.
 //
-// Nothing is armed without a hold, and while rank 0 is known a hold ends only when all ranks are
-// armed alike: an order whose reply was lost may be executed seconds later, and a late order to arm
-// is harmful only before its step has started. For the same reason a version that any rank was
-// ordered to disarm is never armed again.
+// Any number of processes may do this at the same time without knowing of each other, orders may be
+// executed late or twice, and each snapshot may be of another time, since no order follows from
+// anything that can cease to be true before the order is executed (docs/MAP-ROLLOUT.md):
+//
+// - A rank is armed only for the step at which one snapshot of the last rank showed the group held
+//   and that rank not armed otherwise. Thus each version is armed for one step only.
+// - A rank is disarmed only if another rank has a higher version. That rank refuses the lower one
+//   for good, so that no process can ever see all ranks armed with it.
+// - The group resumes only if all ranks are armed alike. They stay so until the step starts.
 //
 // A hold can be ended without rank 0, whose VM also runs the coordinator and may have frozen with
-// it, unless all other ranks are armed: they are disarmed and prepare a newer version, so that late
-// orders can't arm the former one, and the group resumes with its current map.
+// it, unless all other ranks are armed. They prepare a newer version, which rank 0 is never told of
+// and which is therefore never armed. The order to resume then names the number of orders that the
+// last rank has accepted, so that it is refused if another process has prepared a map there since.
 class MapRollout
 {
 public:
@@ -50,14 +57,29 @@
     // Returns a version above all that the ranks report.
     static std::uint64_t nextVersion(const std::vector<RankSnapshot> &snapshots);
 
+    friend bool operator==(const MapRollout &, const MapRollout &) = default;
+
+    template <typename Hash>
+    friend Hash AbslHashValue(Hash hash, const MapRollout &rollout)
+    {
+        return Hash::combine(std::move(hash), rollout.m_highestRetiredVersion,
+                             rollout.m_highestVersionForRank0, rollout.m_lastHoldWithoutRank0);
+    }
+
 private:
-    // Identifies a hold that is ended while rank 0 is unknown.
+    // Identifies a hold that is ended while rank 0 is unknown; none holds step 0.
     struct HoldWithoutRank0
     {
         std::uint64_t m_epoch = 0;
         std::uint64_t m_step = 0;
 
         friend bool operator==(const HoldWithoutRank0 &, const HoldWithoutRank0 &) = default;
+
+        template <typename Hash>
+        friend Hash AbslHashValue(Hash hash, const HoldWithoutRank0 &hold)
+        {
+            return Hash::combine(std::move(hash), hold.m_epoch, hold.m_step);
+        }
     };
 
     RolloutDecision nextWhileHeldWithoutRank0(const std::vector<RankSnapshot> &snapshots,
@@ -66,15 +88,17 @@
     RolloutDecision nextWhileHeld(const std::vector<RankSnapshot> &snapshots, std::uint64_t step,
                                   std::optional<std::uint64_t> plannedVersion);
     RolloutDecision nextWhileRunning(const std::vector<RankSnapshot> &snapshots,
-                                     std::optional<std::uint64_t> plannedVersion) const;
+                                     std::optional<std::uint64_t> plannedVersion);
     std::optional<std::uint64_t>
     commonPreparedVersion(const std::vector<RankSnapshot> &snapshots) const;
-    void disarm(const std::vector<RankSnapshot> &snapshots, RolloutDecision &decision);
+    void prepare(const std::vector<RankSnapshot> &snapshots, std::uint64_t version,
+                 RolloutDecision &decision);
 
-    // Versions up to this are never armed: those that a rank was ordered to disarm, and all known
-    // ones when a hold has to be ended without rank 0.
+    // Versions up to this are never armed: all known ones when a hold has to be ended without
+    // rank 0, and the one that replaced them once it has been ended.
     std::uint64_t m_highestRetiredVersion = 0;
-    std::optional<HoldWithoutRank0> m_lastHoldWithoutRank0; // The most recent one.
+    std::uint64_t m_highestVersionForRank0 = 0; // Of the maps that rank 0 was ordered to prepare.
+    HoldWithoutRank0 m_lastHoldWithoutRank0;
 };
 
 } // namespace burdockhead
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -341,7 +341,8 @@
 }
 
 // Determines whether this agent coordinates. The agent beside rank 0 does, and each standby does
-// when no agent of a lower rank has polled it for some time.
+// when no agent of a lower rank has polled it for some time. One that has the group held completes
+// the change, although another one coordinates by now.
 void RankAgentProcess::updateRole()
 {
     const bool isCandidate =
@@ -359,8 +360,9 @@
     if (!m_snapshot)
         return;
     const std::uint32_t rank = m_snapshot->m_rank;
-    const bool isCoordinating =
-        isCandidate && (rank == 0 || Clock::now() > takeoverTime(*m_snapshot, m_lastPolledAt));
+    const bool isCoordinating = isCandidate
+                                && (rank == 0 || m_coordinator.isHoldInProgress()
+                                    || Clock::now() > takeoverTime(*m_snapshot, m_lastPolledAt));
     m_coordinator.setGroup(isCoordinating ? std::optional(m_snapshot->m_group) : std::nullopt,
                            rank);
 }
--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -121,7 +121,8 @@
     m_dependencies.m_loop.cancel(m_timer);
     m_polls.clear();
     m_orderCalls.clear();
-    m_isAwaitingReplies = false;
+    m_orderReplies.end();
+    m_isHoldInProgress = false;
     m_plan.reset();
     m_ranks.clear();
     m_rankAddresses.clear();
@@ -147,7 +148,7 @@
 
 void RankCoordinator::startRound()
 {
-    m_isAwaitingReplies = false;
+    m_orderReplies.end();
     m_polls.clear();
     std::erase_if(m_orderCalls, [](const auto &call) { return call->isDone(); });
     if (!m_shape || m_addresses.empty()) {
@@ -407,14 +408,22 @@
         m_plan.reset();
         m_nextFullRoundAt = {}; // A further change may be worthwhile.
     }
-    m_pendingOrders = 0;
-    m_hasFailedOrder = false;
-    m_isAwaitingReplies = canAwaitReplies(decision);
+    m_orderReplies.end();
+    ++m_orderRound;
+    if (canAwaitReplies(decision))
+        m_orderReplies.begin(m_orderRound);
+    for (const RankOrder &order : decision.m_orders) {
+        if (order.m_expectedSequence)
+            m_dependencies.m_log.add("hold_ended_without_rank_0",
+                                     {{"group", *m_group},
+                                      {"step", std::to_string(order.m_step)},
+                                      {"sequence", std::to_string(*order.m_expectedSequence)}});
+    }
     send(decision.m_orders);
     m_isHoldInProgress = decision.m_isHoldInProgress;
-    if (m_isAwaitingReplies && m_pendingOrders > 0)
+    if (m_orderReplies.isAwaiting())
         return; // The reply to the last order continues.
-    m_isAwaitingReplies = false;
+    m_orderReplies.end();
     if (decision.m_isHoldInProgress)
         scheduleRound(holdPause);
     else if (m_plan)
@@ -436,7 +445,7 @@
                });
 }
 
-void RankCoordinator::onOrderReply(const RankOrder &order, int status)
+void RankCoordinator::onOrderReply(std::uint64_t round, const RankOrder &order, int status)
 {
     m_dependencies.m_log.add("order", {{"rank", std::to_string(order.m_rank)},
                                        {"type", toString(order.m_type)},
@@ -445,31 +454,64 @@
                                        {"status", std::to_string(status)}});
     if (order.m_type == RankOrderType::Prepare && status >= firstFailureStatus)
         m_mapDistribution.onFailed(order.m_rank);
-    if (!m_isAwaitingReplies)
-        return;
     const auto rank = m_ranks.find(order.m_rank);
     const bool isDone = status >= statusOk && status < firstFailureStatus;
-    if (!isDone || rank == m_ranks.end())
-        m_hasFailedOrder = true;
-    else if (order.m_type == RankOrderType::Hold)
-        rank->second.m_snapshot.m_heldStep = order.m_step;
-    else
-        rank->second.m_snapshot.m_armed = ArmedMap{order.m_version, order.m_step};
-    if (--m_pendingOrders > 0)
+    switch (m_orderReplies.onReply(round, order, isDone,
+                                   rank == m_ranks.end() ? nullptr : &rank->second.m_snapshot)) {
+    case OrderProgress::Ignored:
+    case OrderProgress::Pending:
+        return;
+    case OrderProgress::Done:
+        scheduleDecision(Clock::now());
         return;
-    m_isAwaitingReplies = false;
-    if (m_hasFailedOrder) {
+    case OrderProgress::Failed:
         scheduleRound(Milliseconds(0));
         return;
+    case OrderProgress::AwaitingHold:
+        confirmHold(order.m_rank);
+        return;
     }
-    // Deferred, since the next round destroys the calls.
+}
+
+// Deferred, since the next round destroys the calls.
+void RankCoordinator::scheduleDecision(TimePoint at)
+{
     m_dependencies.m_loop.cancel(m_timer);
-    const bool isHold = order.m_type == RankOrderType::Hold;
-    m_timer =
-        m_dependencies.m_loop.callAt(Clock::now() + (isHold ? armDelay : Milliseconds(0)), [this] {
-            m_timer = 0;
-            decide();
-        });
+    m_timer = m_dependencies.m_loop.callAt(at, [this] {
+        m_timer = 0;
+        decide();
+    });
+}
+
+// Reads the rank that was ordered to hold the group again, while nothing is armed yet anyway. An
+// engine's own report to other VMs lags too far behind to show the hold.
+void RankCoordinator::confirmHold(std::uint32_t rank)
+{
+    if (isUnresponsive(rank)) {
+        scheduleRound(holdPause);
+        return;
+    }
+    const TimePoint armAt = Clock::now() + armDelay;
+    m_polls.push_back(std::make_unique<ShortCall>(
+        m_dependencies.m_loop, m_dependencies.m_client, m_rankAddresses.at(rank).m_agent, "GET",
+        rankStatusTarget + (polledByQuery + std::to_string(m_localRank)), "",
+        Clock::now() + statusTimeout,
+        [this, rank, armAt](ShortCall &call) { onHoldRead(rank, armAt, call); },
+        ShortCallOptions::toOwnProcess()));
+}
+
+void RankCoordinator::onHoldRead(std::uint32_t rank, TimePoint armAt, const ShortCall &call)
+{
+    const auto status =
+        call.status() == statusOk ? readRankStatus(call.body()) : std::optional<RankStatus>();
+    const auto known = m_ranks.find(rank);
+    if (!status || known == m_ranks.end() || status->m_snapshot.m_group != m_group
+        || status->m_snapshot.m_rank != rank) {
+        scheduleRound(Milliseconds(0));
+        return;
+    }
+    known->second.m_snapshot = status->m_snapshot;
+    scheduleDecision(armAt);
 }
 
 // A change isn't ended without rank 0 while the agent beside it still coordinates.
@@ -587,10 +629,12 @@
         isSentToEngine ? m_dependencies.m_protocol.orderTarget() : rankOrderTarget,
         isSentToEngine ? m_dependencies.m_protocol.writeOrder(order, map, message.m_rankCount)
                        : writeRankOrder(message),
-        deadline, [this, order](ShortCall &call) { onOrderReply(order, call.status()); },
+        deadline,
+        [this, order, round = m_orderRound](ShortCall &call) {
+            onOrderReply(round, order, call.status());
+        },
         isSentToEngine ? ShortCallOptions() : ShortCallOptions::toOwnProcess()));
-    if (m_isAwaitingReplies)
-        ++m_pendingOrders;
+    m_orderReplies.expect();
 }
 
 // Tells the gateways which ranks are slow; they spread it among them. Returns whether that is new.
@@ -623,15 +667,14 @@
         relayPrefix + m_dependencies.m_protocol.orderTarget(),
         m_dependencies.m_protocol.writeOrder(order, nullptr, message.m_rankCount),
         Clock::now() + relayTimeout,
-        [this, order, relay](ShortCall &call) {
+        [this, order, relay, round = m_orderRound](ShortCall &call) {
             if (call.status() == 0 || call.status() == statusEngineUnknown)
                 m_relaySelector.recordFailure(*relay, Clock::now());
-            onOrderReply(order, call.status());
+            onOrderReply(round, order, call.status());
         },
         ShortCallOptions::toOwnProcess(
             {{relayToHeader, m_rankAddresses.at(order.m_rank).m_engine.toString()}})));
-    if (m_isAwaitingReplies)
-        ++m_pendingOrders;
+    m_orderReplies.expect();
     return true;
 }
 
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -11,6 +11,7 @@
 #include <burdockhead/rankagent/mapdistribution.h>
 #include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/maprollout.h>
+#include <burdockhead/rankagent/orderreplies.h>
 #include <burdockhead/rankagent/rankmessages.h>
 #include <burdockhead/rankagent/ranksampler.h>
 #include <burdockhead/rankagent/relayselector.h>
@@ -65,6 +66,10 @@
     // Starts to coordinate a group from the agent of localRank; stops without a group.
     void setGroup(const std::optional<std::string> &group, std::uint32_t localRank);
 
+    // Whether this process has begun a change for which the group is held. Another coordinator
+    // would notice the hold only with its next full round.
+    bool isHoldInProgress() const { return m_group && m_isHoldInProgress; }
+
     // Adds a map that any coordinator has ordered ranks to prepare.
     void addKnownMap(const ExpertMap &map);
 
@@ -102,7 +107,10 @@
     bool sendByRelay(const RankOrderMessage &message);
     bool reportSlowRanks();
     static bool canAwaitReplies(const RolloutDecision &decision);
-    void onOrderReply(const RankOrder &order, int status);
+    void onOrderReply(std::uint64_t round, const RankOrder &order, int status);
+    void confirmHold(std::uint32_t rank);
+    void onHoldRead(std::uint32_t rank, TimePoint armAt, const ShortCall &call);
+    void scheduleDecision(TimePoint at);
     bool isRank0PresentOrUnresponsive() const;
     bool isSentToEngine(const RankOrder &order) const;
     bool isUnresponsive(std::uint32_t rank) const;
@@ -132,10 +140,9 @@
     std::size_t m_pendingPolls = 0;
     TimerId m_timer = 0;
     TimePoint m_nextPlanAt;
-    bool m_isHoldInProgress = false;  // As of the last decision.
-    bool m_isAwaitingReplies = false; // The next orders follow from the replies to the last ones.
-    std::size_t m_pendingOrders = 0;
-    bool m_hasFailedOrder = false;
+    bool m_isHoldInProgress = false; // As of the last decision.
+    OrderReplies m_orderReplies;     // The next orders follow from the replies to the last ones.
+    std::uint64_t m_orderRound = 0;  // Number of the last decision.
     std::uint64_t m_latestStep = 0;
 };
 
--- a/src/burdockhead/rankagent/rankmessages.cpp
+++ b/src/burdockhead/rankagent/rankmessages.cpp
@@ -40,6 +40,7 @@
     writer.number(armed.m_version).number(armed.m_step);
     writeOptional(writer, snapshot.m_heldStep);
     writer.number(static_cast<std::uint64_t>(std::lround(snapshot.m_slowness * slownessUnit)));
+    writeOptional(writer, snapshot.m_sequence);
 }
 
 RankSnapshot readSnapshot(MessageReader &reader)
@@ -61,6 +62,7 @@
         snapshot.m_armed = ArmedMap{version, step};
     snapshot.m_heldStep = readOptional(reader);
     snapshot.m_slowness = static_cast<double>(reader.number()) / slownessUnit;
+    snapshot.m_sequence = readOptional(reader);
     return snapshot;
 }
 
@@ -113,8 +115,9 @@
         .number(static_cast<std::uint64_t>(order.m_type))
         .number(order.m_epoch)
         .number(order.m_version)
-        .number(order.m_step)
-        .number(message.m_rankCount)
+        .number(order.m_step);
+    writeOptional(writer, order.m_expectedSequence);
+    writer.number(message.m_rankCount)
         .text(message.m_map ? message.m_map->encode() : std::string())
         .number(message.m_forwardTo.size());
     for (const ForwardTarget &recipient : message.m_forwardTo)
@@ -134,6 +137,7 @@
     message.m_order.m_epoch = reader.number();
     message.m_order.m_version = reader.number();
     message.m_order.m_step = reader.number();
+    message.m_order.m_expectedSequence = readOptional(reader);
     message.m_rankCount = static_cast<std::uint32_t>(reader.number());
     const std::string map = reader.text();
     if (!map.empty()) {
--- a/src/burdockhead/rankagent/rankorder.h
+++ b/src/burdockhead/rankagent/rankorder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace burdockhead {
 
@@ -24,6 +25,8 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_version = 0; // Of the map, for Prepare, Arm and Disarm.
     std::uint64_t m_step = 0;    // For Arm, Hold and Resume.
+    // The rank refuses the order if it has accepted another number of orders.
+    std::optional<std::uint64_t> m_expectedSequence = {};
 
     friend bool operator==(const RankOrder &, const RankOrder &) = default;
 };
--- a/src/burdockhead/rankagent/ranksnapshot.h
+++ b/src/burdockhead/rankagent/ranksnapshot.h
@@ -31,6 +31,7 @@
     std::optional<ArmedMap> m_armed;
     std::optional<std::uint64_t> m_heldStep; // Step before which the group waits.
     double m_slowness = 1;                   // Time for the same work, relative to a healthy rank.
+    std::optional<std::uint64_t> m_sequence = {}; // Orders accepted; none if it isn't reported.
 
     // Whether the rank has prepared or armed a map that isn't active yet, or holds the group.
     bool isChangingMap() const
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -21,19 +21,24 @@
 constexpr std::size_t unresponsiveTicks = 12;
 constexpr std::size_t longHoldTicks = 120;
 
-// Updates the rank's snapshot by the reply to an order to hold or arm; returns false for other
-// orders.
-bool applyReply(const RankOrder &order, std::vector<RankSnapshot> &snapshots)
+// How far snapshots may lag behind the others of their round.
+constexpr std::size_t maxLagTicks = 10;
+
+RankSnapshot *findRank(std::vector<RankSnapshot> &snapshots, std::uint32_t rank)
 {
-    for (RankSnapshot &snapshot : snapshots) {
-        if (snapshot.m_rank != order.m_rank)
-            continue;
-        if (order.m_type == RankOrderType::Hold)
-            snapshot.m_heldStep = order.m_step;
-        if (order.m_type == RankOrderType::Arm)
-            snapshot.m_armed = ArmedMap{order.m_version, order.m_step};
-    }
-    return order.m_type == RankOrderType::Hold || order.m_type == RankOrderType::Arm;
+    const auto found =
+        std::find_if(snapshots.begin(), snapshots.end(),
+                     [&](const RankSnapshot &snapshot) { return snapshot.m_rank == rank; });
+    return found == snapshots.end() ? nullptr : &*found;
+}
+
+bool areRepliesAwaited(const RolloutDecision &decision)
+{
+    return decision.m_isHoldInProgress && !decision.m_orders.empty()
+           && std::all_of(
+               decision.m_orders.begin(), decision.m_orders.end(), [](const RankOrder &order) {
+                   return order.m_type == RankOrderType::Hold || order.m_type == RankOrderType::Arm;
+               });
 }
 
 } // namespace
@@ -75,6 +80,8 @@
 void GroupSimulation::tick()
 {
     ++m_tick;
+    m_pastSnapshots.push_front(currentSnapshots());
+    m_pastSnapshots.resize(std::min(m_pastSnapshots.size(), maxLagTicks));
     for (Rank &rank : m_ranks) {
         if (rank.m_loading && m_tick >= rank.m_loadedAtTick) {
             rank.m_prepared = rank.m_loading;
@@ -100,6 +107,9 @@
         m_lateOrders.emplace(m_frozenUntilTick, pending);
         return false;
     }
+    if (order.m_expectedSequence.value_or(rank.m_sequence) != rank.m_sequence)
+        return false;
+    ++rank.m_sequence;
     switch (order.m_type) {
     case RankOrderType::Prepare:
         if (order.m_version <= rank.m_highestVersion || rank.m_armed)
@@ -153,7 +163,7 @@
     return false;
 }
 
-std::vector<RankSnapshot> GroupSimulation::snapshots() const
+std::vector<RankSnapshot> GroupSimulation::currentSnapshots() const
 {
     std::vector<RankSnapshot> snapshots;
     for (std::size_t index = isFrozen() ? 1 : 0; index < m_ranks.size(); ++index) {
@@ -171,11 +181,26 @@
         snapshot.m_armed = rank.m_armed;
         if (index + 1 == m_ranks.size())
             snapshot.m_heldStep = m_heldStep;
+        snapshot.m_sequence = rank.m_sequence;
         snapshots.push_back(snapshot);
     }
     return snapshots;
 }
 
+// Returns snapshots of different times, as when some engines are read from another VM.
+std::vector<RankSnapshot> GroupSimulation::snapshots()
+{
+    std::vector<RankSnapshot> snapshots = currentSnapshots();
+    for (RankSnapshot &snapshot : snapshots) {
+        if (m_pastSnapshots.empty() || chance() >= m_faults.m_lagging)
+            continue;
+        auto &past = m_pastSnapshots[m_random() % m_pastSnapshots.size()];
+        if (const RankSnapshot *older = findRank(past, snapshot.m_rank))
+            snapshot = *older;
+    }
+    return snapshots;
+}
+
 // With freezes, the other coordinators replace the first one while its VM is frozen.
 GroupSimulation::Coordinator &GroupSimulation::nextCoordinator()
 {
@@ -214,15 +239,39 @@
         coordinator.m_plannedVersion.reset();
         return;
     }
-    bool hasAllReplies = decision.m_isHoldInProgress && !decision.m_orders.empty();
+    sendOrders(coordinator, decision, std::move(current), snapshotsTick);
+}
+
+// Sends a round's orders and handles their replies and those that are late.
+void GroupSimulation::sendOrders(Coordinator &coordinator, const RolloutDecision &decision,
+                                 std::vector<RankSnapshot> current, std::size_t snapshotsTick)
+{
+    const bool isAwaited = areRepliesAwaited(decision);
+    const std::uint64_t round = ++coordinator.m_round;
+    coordinator.m_replies.end();
+    if (isAwaited)
+        coordinator.m_replies.begin(round);
+    for (std::size_t index = 0; isAwaited && index < decision.m_orders.size(); ++index)
+        coordinator.m_replies.expect();
+    const auto lateReplies = std::exchange(coordinator.m_lateReplies, {});
+    for (const LateReply &late : lateReplies)
+        coordinator.m_replies.onReply(late.m_round, late.m_order, late.m_isDone,
+                                      findRank(current, late.m_order.m_rank));
+    OrderProgress progress = OrderProgress::Ignored;
     for (const RankOrder &order : decision.m_orders) {
         const bool isDone = sendOrder(order, coordinator.m_contentId);
-        hasAllReplies &= isDone && applyReply(order, current);
+        if (chance() < m_faults.m_lateReply)
+            coordinator.m_lateReplies.push_back({round, order, isDone});
+        else
+            progress = coordinator.m_replies.onReply(round, order, isDone,
+                                                     findRank(current, order.m_rank));
         if (m_random() % 2 == 0)
             tick();
     }
-    if (hasAllReplies) {
-        coordinator.m_repliedSnapshots = current;
+    if (progress == OrderProgress::AwaitingHold)
+        current.back() = currentSnapshots().back();
+    if (progress == OrderProgress::AwaitingHold || progress == OrderProgress::Done) {
+        coordinator.m_repliedSnapshots = std::move(current);
         coordinator.m_repliedSnapshotsTick = snapshotsTick;
     }
 }
@@ -231,11 +280,11 @@
 {
     m_coordinators.resize(m_faults.m_coordinators);
     for (Coordinator &coordinator : m_coordinators)
-        coordinator = {makeCoordinator(), {}, 0, {}, 0, {}, 0};
+        coordinator = {makeCoordinator(), {}, 0, {}, 0, {}, 0, {}, 0, {}};
     for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
         if (chance() < m_faults.m_restart)
             m_coordinators[m_random() % m_coordinators.size()] = {
-                makeCoordinator(), {}, 0, {}, 0, {}, 0};
+                makeCoordinator(), {}, 0, {}, 0, {}, 0, {}, 0, {}};
         round();
         for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
             tick();
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -2,8 +2,10 @@
 
 #include <burdockhead/base/random.h>
 #include <burdockhead/rankagent/maprollout.h>
+#include <burdockhead/rankagent/orderreplies.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -23,6 +25,9 @@
     // Orders to hold after which the VM of the first coordinator and rank 0 freezes; the other
     // coordinators act only while it is frozen.
     double m_frozen = 0;
+    // Snapshots of single ranks that are up to 250 ms older than the others of their round.
+    double m_lagging = 0;
+    double m_lateReply = 0; // Replies that arrive in the coordinator's next round.
 };
 
 // Returns the next orders; plannedVersion is the version that the coordinator wants.
@@ -69,6 +74,15 @@
         std::size_t m_loadedAtTick = 0;
         std::optional<ArmedMap> m_armed;
         std::uint64_t m_highestVersion = 0;
+        std::uint64_t m_sequence = 0;
+    };
+
+    // Reply to an order of an earlier round.
+    struct LateReply
+    {
+        std::uint64_t m_round = 0;
+        RankOrder m_order;
+        bool m_isDone = false;
     };
 
     // A coordinator with its state.
@@ -82,6 +96,9 @@
         // Snapshots of the last round updated by the replies to its orders, when all were executed.
         std::vector<RankSnapshot> m_repliedSnapshots;
         std::size_t m_repliedSnapshotsTick = 0;
+        OrderReplies m_replies;
+        std::uint64_t m_round = 0;
+        std::vector<LateReply> m_lateReplies;
     };
 
     struct PendingOrder
@@ -95,7 +112,10 @@
     void startStep();
     bool execute(const PendingOrder &pending);
     bool sendOrder(const RankOrder &order, std::uint64_t contentId);
-    std::vector<RankSnapshot> snapshots() const;
+    std::vector<RankSnapshot> currentSnapshots() const;
+    std::vector<RankSnapshot> snapshots();
+    void sendOrders(Coordinator &coordinator, const RolloutDecision &decision,
+                    std::vector<RankSnapshot> current, std::size_t snapshotsTick);
     bool isFrozen() const { return m_frozenAtTick <= m_tick && m_tick < m_frozenUntilTick; }
     Coordinator &nextCoordinator();
     void round();
@@ -111,6 +131,7 @@
     std::size_t m_frozenAtTick = 0;
     std::size_t m_frozenUntilTick = 0;
     std::size_t m_tick = 0;
+    std::deque<std::vector<RankSnapshot>> m_pastSnapshots; // Of the last ticks, newest first.
     std::multimap<std::size_t, PendingOrder> m_lateOrders;
     std::vector<Coordinator> m_coordinators;
     std::uint64_t m_contentId = 0; // Of the last plan; unique for each plan.
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -1,3 +1,4 @@
+#include "abandoningrollout.h"
 #include "groupsimulation.h"
 
 #include <boost/test/unit_test.hpp>
@@ -68,6 +69,14 @@
     };
 }
 
+NextOrders makeAbandoningUnprepared()
+{
+    const auto rollout = std::make_shared<MapRollout>();
+    return [rollout](const auto &snapshots, auto plannedVersion, auto age) {
+        return abandonUnprepared(*rollout, snapshots, plannedVersion, age);
+    };
+}
+
 // Faulty coordinator: resumes the group without rank 0 although all others may be armed.
 NextOrders makeResumingUnchecked()
 {
@@ -108,6 +117,9 @@
 const GroupFaults allFaultsTwoCoordinators = {0.2, 0.3, 0.1, 0.03, 0.3, 2};
 const GroupFaults freezes = {0, 0, 0, 0, 0, 2, 0.5};
 const GroupFaults freezesAndLateOrders = {0.1, 0.2, 0.05, 0.02, 0.2, 3, 0.5};
+const GroupFaults mixedAges = {0, 0, 0, 0, 0, 2, 0, 0.3, 0.2};
+const GroupFaults allFaultsMixedAges = {0.2, 0.3, 0.1, 0.05, 0.3, 3, 0, 0.3, 0.2};
+const GroupFaults freezesAndMixedAges = {0.1, 0.2, 0.05, 0.05, 0.2, 3, 0.5, 0.3, 0.2};
 
 std::size_t countSplits(const GroupFaults &faults, const std::function<NextOrders()> &make)
 {
@@ -153,6 +165,16 @@
     BOOST_TEST(countSplits(allFaultsTwoCoordinators, makeRollout) == 0U);
 }
 
+// Two coordinators, both sound: one of them read a rank's report from before the other had its map
+// prepared there, and disarmed the others while the group was resumed.
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_coordinators_that_read_ranks_at_different_times)
+{
+    BOOST_TEST(countSplits(mixedAges, makeRollout) == 0U);
+    BOOST_TEST(countSplits(allFaultsMixedAges, makeRollout) == 0U);
+    BOOST_TEST(countSplits(freezesAndMixedAges, makeRollout) == 0U);
+    BOOST_TEST(countSplits(mixedAges, makeAbandoningUnprepared) > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(no_step_is_split_when_the_vm_of_the_coordinator_and_rank_0_freezes)
 {
     BOOST_TEST(countSplits(freezes, makeRollout) == 0U);
@@ -182,7 +204,8 @@
 
 BOOST_AUTO_TEST_CASE(a_group_left_held_by_faults_resumes)
 {
-    for (const GroupFaults &faults : {allFaults, allFaultsTwoCoordinators}) {
+    for (const GroupFaults &faults :
+         {allFaults, allFaultsTwoCoordinators, allFaultsMixedAges, freezesAndMixedAges}) {
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             GroupSimulation group(ranks, faults, seed);
             group.run(rounds, makeRollout);
--- a/tests/platform/test_platformengineprotocol.cpp
+++ b/tests/platform/test_platformengineprotocol.cpp
@@ -30,6 +30,7 @@
     BOOST_TEST(idle->m_step == 35U);
     BOOST_TEST(idle->m_mapVersion == 4U);
     BOOST_TEST(!idle->m_preparedVersion.has_value());
+    BOOST_TEST(idle->m_sequence.value() == 2U);
     const auto changing =
         protocol.readSnapshot(report(R"("prepared":5,"armed":{"version":5,"step":47},"held":47)"));
     BOOST_REQUIRE(changing.has_value());
@@ -65,6 +66,8 @@
                == Json::parse(R"({"operation":"arm","epoch":2,"version":9,"step":47})"));
     BOOST_TEST(Json::parse(protocol.writeOrder({0, RankOrderType::Hold, 2, 0, 47}, nullptr, 2))
                == Json::parse(R"({"operation":"hold","epoch":2,"step":47})"));
+    BOOST_TEST(Json::parse(protocol.writeOrder({0, RankOrderType::Resume, 2, 0, 47, 6}, nullptr, 2))
+               == Json::parse(R"({"operation":"go","epoch":2,"step":47,"expected":6})"));
     BOOST_TEST(Json::parse(protocol.writeOrder({0, RankOrderType::Disarm, 2, 9, 0}, nullptr, 2))
                == Json::parse(R"({"operation":"disarm","epoch":2,"version":9})"));
 }
--- a/tests/public/rankagent/test_rankagentprocess.cpp
+++ b/tests/public/rankagent/test_rankagentprocess.cpp
@@ -99,7 +99,7 @@
     {
         m_store.put("config", "main",
                     R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[)"
-                        + GroupStandIn::service() + R"(],"tenants":[]})");
+                        + m_group.service() + R"(],"tenants":[]})");
     }
 
     // `gateways` is a list of HOST:PORT separated by commas.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -134,6 +134,22 @@
     return result;
 }
 
+// Orders, ranks and the store are sound, so that maps change all the time while coordinators come
+// and go.
+SoakResult soakTakeovers(const SoakOptions &options)
+{
+    SoakResult result;
+    result.m_folder = options.m_folder;
+    result.m_faults = planTakeovers(options.m_seed, options.m_span, rankCalm);
+    constexpr GroupShape shape = {96, 5, Milliseconds(27), Milliseconds(90), Milliseconds(7)};
+    RankWorld world(options.m_seed, options.m_size, options.m_folder, shape);
+    world.changeMapsOften();
+    world.run(result.m_faults, options.m_span, rankCalm);
+    result.m_violations = world.violations();
+    std::cout << world.steps() << " steps, " << world.mapChanges() << " changes of the map";
+    return result;
+}
+
 SoakResult soakEntries(const SoakOptions &options)
 {
     SoakResult result;
@@ -161,6 +177,7 @@
 constexpr std::array worlds = {World{"gateways", "--gateways=", 3, 20, soakGateways},
                                World{"silences", "--gateways=", 9, 25, soakSilences},
                                World{"ranks", "--ranks=", 10, 25, soakRanks},
+                               World{"takeovers", "--ranks=", 24, 40, soakTakeovers},
                                World{"entries", "--endpoints=", 1, 25, soakEntries}};
 
 } // namespace
--- a/tests/soak/rankworld.cpp
+++ b/tests/soak/rankworld.cpp
@@ -11,12 +11,16 @@
 
 constexpr std::size_t gatewayCount = 2;
 constexpr Milliseconds housekeeping{20};
+// How old a report is to other VMs, as on the platform.
+constexpr Milliseconds reportLag{200};
+// The agents of the first ranks coordinate; of the faults of agents, every second one concerns
+// them.
+constexpr std::size_t coordinatingRanks = 3;
 // Faults of orders: the part that they concern, and how late orders are carried out.
 constexpr double faultyPart = 0.4;
 constexpr Milliseconds orderDelay{2000};
-// The last part of the span, in which steps have to go on; the group makes 33 a second.
+// The last part of the span, in which steps have to go on: half of what the group can make.
 constexpr Milliseconds judged{2000};
-constexpr std::uint64_t leastSteps = 33;
 // Ranks that have experts of their own under the first map.
 constexpr std::size_t demandedRanks = 6;
 
@@ -36,14 +40,16 @@
 
 } // namespace
 
-RankWorld::RankWorld(std::uint64_t seed, std::size_t ranks, const std::filesystem::path &folder)
+RankWorld::RankWorld(std::uint64_t seed, std::size_t ranks, const std::filesystem::path &folder,
+                     const GroupShape &shape)
     : m_folder(folder)
     , m_storeProxy(m_loop, m_store.address())
     , m_hosts(hostsOf(ranks))
-    , m_group(m_loop, m_hosts, freeLoopbackAddress().m_port, seed)
+    , m_group(m_loop, m_hosts, freeLoopbackAddress().m_port, seed, shape)
     , m_agentPort(freeLoopbackAddress().m_port)
 {
     std::filesystem::create_directories(m_folder);
+    m_group.serveOwnVms(freeLoopbackAddress().m_port, reportLag);
     putConfiguration();
     for (std::size_t rank = 0; rank < ranks; ++rank)
         m_store.put("servers", "e" + std::to_string(rank), m_group.entry(rank));
@@ -75,7 +81,7 @@
     std::ofstream file(settings);
     file << "[process]\nname = " << name
          << "\ndata_centre = a\n[listen]\nagents = " << m_hosts[rank] << ":" << m_agentPort
-         << "\n[endpoint]\naddress = " << m_group.address(rank)
+         << "\n[endpoint]\naddress = " << m_group.ownAddress(rank)
          << "\nservice = llm\n[store]\naddress = " << m_storeProxy.address().toString()
          << "\n[seeds]\ngateways = ";
     for (const SocketAddress &gateway : m_gatewayAddresses)
@@ -89,13 +95,16 @@
 {
     m_store.put("config", "main",
                 R"({"version":)" + std::to_string(++m_version) + R"(,"routes":[],"services":[)"
-                    + GroupStandIn::service() + R"(],"limits":{},"tenants":[]})");
+                    + m_group.service() + R"(],"limits":{},"tenants":[]})");
 }
 
 SupervisedProcess &RankWorld::processOf(const Fault &fault)
 {
-    auto &processes = fault.m_type <= FaultType::ReloadGateway ? m_gateways : m_agents;
-    return *processes[fault.m_which % processes.size()];
+    const bool isGateway = fault.m_type <= FaultType::ReloadGateway;
+    auto &processes = isGateway ? m_gateways : m_agents;
+    const bool concernsCoordinators = !isGateway && fault.m_which % 2 == 0;
+    const std::size_t number = fault.m_which / 2;
+    return *processes[number % (concernsCoordinators ? coordinatingRanks : processes.size())];
 }
 
 void RankWorld::begin(const Fault &fault)
@@ -117,7 +126,10 @@
         m_group.setDoubledOrders(faultyPart, orderDelay);
         break;
     case FaultType::ShiftDemand:
-        m_group.shiftDemand(fault.m_which % demandedRanks);
+        if (m_drawsDemand)
+            m_group.drawDemand();
+        else
+            m_group.shiftDemand(fault.m_which % demandedRanks);
         break;
     default:
         putConfiguration();
@@ -168,6 +180,7 @@
     }
     if (m_group.hasSplit())
         m_violations.emplace_back("ranks of one step used several maps");
+    const auto leastSteps = static_cast<std::uint64_t>(judged / m_group.stepTime() / 2);
     if (m_group.step() < stepsAtCheck + leastSteps)
         m_violations.push_back("after the last fault the group made only "
                                + std::to_string(m_group.step() - stepsAtCheck) + " steps");
--- a/tests/soak/rankworld.h
+++ b/tests/soak/rankworld.h
@@ -19,12 +19,16 @@
 class RankWorld
 {
 public:
-    RankWorld(std::uint64_t seed, std::size_t ranks, const std::filesystem::path &folder);
+    RankWorld(std::uint64_t seed, std::size_t ranks, const std::filesystem::path &folder,
+              const GroupShape &shape = {});
     RankWorld(const RankWorld &) = delete;
     RankWorld &operator=(const RankWorld &) = delete;
 
     static std::vector<FaultType> faultTypes();
 
+    // Lets each shift of the demand be such that several changes of the map follow.
+    void changeMapsOften() { m_drawsDemand = true; }
+
     // Runs the faults, then shifts the demand a last time; the map has to follow in the calm at the
     // end.
     void run(const std::vector<Fault> &faults, Milliseconds span, Milliseconds calm);
@@ -56,6 +60,7 @@
     std::vector<std::unique_ptr<SupervisedProcess>> m_agents;
     std::vector<std::unique_ptr<SupervisedProcess>> m_gateways;
     int m_version = 1;
+    bool m_drawsDemand = false;
     std::uint64_t m_seenMap = 0;
     std::size_t m_mapChanges = 0;
     std::vector<std::string> m_violations;
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -90,7 +90,7 @@
         faults.push_back(fault);
         // Some come in series of the same kind, on the same thing.
         if (random() % 5 == 0) {
-            fault.m_at += Milliseconds(random() % 300);
+            fault.m_at += Milliseconds(random() % 200);
             faults.push_back(fault);
         }
         at += Milliseconds(random() % longestGap);
@@ -98,4 +98,24 @@
     return faults;
 }
 
+std::vector<Fault> planTakeovers(std::uint64_t seed, Milliseconds span, Milliseconds calm)
+{
+    constexpr Milliseconds gap{2600};
+    constexpr Milliseconds restart{300};
+    constexpr Milliseconds pause{2000};
+    constexpr unsigned coordinators = 3;
+    Random random(seed);
+    std::vector<Fault> faults;
+    for (Milliseconds at{500}; at + gap < span - calm; at += gap) {
+        faults.push_back({FaultType::ShiftDemand, at, Milliseconds(0), 0});
+        // Even numbers name the agents of the first ranks; most often that of the first standby.
+        const unsigned rank =
+            random() % 8 != 0 ? 1 : static_cast<unsigned>(random() % coordinators);
+        const bool isPause = random() % 8 == 0;
+        faults.push_back({isPause ? FaultType::PauseRankAgent : FaultType::KillRankAgent,
+                          at + Milliseconds(random() % 300), isPause ? pause : restart, 2 * rank});
+    }
+    return faults;
+}
+
 } // namespace burdockhead::test
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -70,4 +70,8 @@
 std::vector<Fault> planSoak(std::uint64_t seed, const std::vector<FaultType> &types,
                             Milliseconds span, Milliseconds calm);
 
+// Returns a plan in which an agent that coordinates a group, or would, ends or stands still at each
+// change of the group's map: the demand shifts each time.
+std::vector<Fault> planTakeovers(std::uint64_t seed, Milliseconds span, Milliseconds calm);
+
 } // namespace burdockhead::test
--- a/tests/standins/fleet/groupstandin.h
+++ b/tests/standins/fleet/groupstandin.h
@@ -4,6 +4,7 @@
 #include <burdockhead/net/httplistener.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +15,16 @@
 
 namespace burdockhead::test {
 
+// Sizes and times of a group.
+struct GroupShape
+{
+    std::size_t m_experts = 16;
+    std::size_t m_places = 6;   // For experts at a rank.
+    Milliseconds m_loadTime{0}; // Of an expert that is new to a rank.
+    Milliseconds m_stepTime{30};
+    Milliseconds m_networkTime{0}; // Of a call from another VM, there and back.
+};
+
 // A group of ranks in lock-step, each behind an address of its own, as the platform forms them.
 // Its requests choose experts unevenly: those of one rank under the first map take most, which
 // rank that is can be changed.
@@ -22,14 +33,19 @@
 public:
     // One rank on each host, all on one port.
     GroupStandIn(EventLoop &loop, const std::vector<std::string> &hosts, std::uint16_t port,
-                 std::uint64_t seed);
+                 std::uint64_t seed, const GroupShape &shape = {});
 
     // The entry of a rank for service discovery, the service in the configuration, and where a
     // rank is.
     std::string entry(std::size_t rank) const;
-    static std::string service();
+    std::string service() const;
     std::string address(std::size_t rank) const;
 
+    // Serves each rank on a further port, as to its own VM, where reports are fresh; from now on
+    // those on the first port are this old. Returns the address there below.
+    void serveOwnVms(std::uint16_t port, Milliseconds lag);
+    std::string ownAddress(std::size_t rank) const;
+
     // Leaves a part of the orders unanswered and carries them out this much later.
     void setLateOrders(double part, Milliseconds delay);
 
@@ -40,7 +56,11 @@
     void setDoubledOrders(double part, Milliseconds delay);
 
     // Lets requests choose the experts of another rank most.
-    void shiftDemand(std::size_t rank) { m_demandedRank = rank; }
+    void shiftDemand(std::size_t rank);
+
+    // Lets requests choose a few experts often, drawn at random. One change of the map rarely
+    // suffices for that.
+    void drawDemand();
 
     // Leaves each order to prepare unanswered the first time, and never carries that one out.
     void dropFirstPreparations() { m_dropsPreparations = true; }
@@ -60,8 +80,7 @@
     bool isFrozen() const { return m_frozen.has_value(); }
     bool hasSplit() const { return m_hasSplit; }
 
-    static constexpr std::size_t experts = 16;
-    static constexpr std::size_t places = 6;
+    Milliseconds stepTime() const { return m_shape.m_stepTime; }
 
 private:
     using RankMap = std::vector<std::vector<std::size_t>>; // Experts, by rank.
@@ -80,6 +99,13 @@
         std::uint64_t m_step = 0;
     };
 
+    // Report of a rank from this time on.
+    struct PastReport
+    {
+        TimePoint m_since;
+        std::string m_report;
+    };
+
     struct Rank
     {
         Map m_map;
@@ -87,14 +113,23 @@
         std::optional<Armed> m_armed;
         std::uint64_t m_highestVersion = 0;
         std::vector<std::uint64_t> m_counts;
+        std::uint64_t m_sequence = 0;
         std::unique_ptr<HttpListener> m_listener;
+        std::unique_ptr<HttpListener> m_ownListener;
+        std::deque<PastReport> m_reports; // Oldest first.
     };
 
     bool isOneOf(double part);
-    void handle(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange);
+    std::unique_ptr<HttpListener> listen(std::size_t rank, std::uint16_t port, bool isOwnVm);
+    void handle(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange, bool isOwnVm);
+    void respond(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange, bool isOwnVm);
     void takeOrder(std::size_t rank, const std::shared_ptr<HttpExchange> &exchange);
     int carryOut(std::size_t rank, const std::string &order);
+    int execute(std::size_t rank, const std::string &order);
+    void load(std::size_t rank, Map map);
     std::string report(std::size_t rank) const;
+    const std::string &laggingReport(std::size_t rank) const;
+    void recordReport(std::size_t rank);
     std::string picked(std::size_t rank, bool hasLists) const;
     void makeSteps();
     void beginStep();
@@ -102,6 +137,9 @@
     EventLoop &m_loop;
     const std::vector<std::string> m_hosts;
     const std::uint16_t m_port;
+    const GroupShape m_shape;
+    std::uint16_t m_ownPort = 0;
+    Milliseconds m_reportLag{0};
     Random m_random;
     std::vector<Rank> m_ranks;
     std::uint64_t m_step = 1;
@@ -115,7 +153,7 @@
     Milliseconds m_lateBy{0};
     double m_doubledPart = 0;
     Milliseconds m_doubledAfter{0};
-    std::size_t m_demandedRank = 0;
+    std::vector<std::uint64_t> m_choices; // Of each expert in a step.
     std::optional<std::size_t> m_frozen;
     std::optional<std::size_t> m_freezesOnHold;
     std::function<void()> m_onFrozen;
