Take no response for one whose status HTTP doesn't have

What callers saw: with status 000 (also 001, 099, two digits, 101, and 100 or 199 with a length) 504 after the whole time limit; 600 and 999 as answers; with 204 and 205 the bytes that followed a whole response.

Cause: nobody checked the status. http-parser takes any number, libcurl any three digits; what is below 200 counted as an interim answer, and a length was believed whatever the status.

Change: one rule for both parsers (responsestatus.h): three digits from 100 to 599, not 101, and no announced body with 1xx, 204 and 205. All else is malformed: the attempt fails at once and counts as a failure, what may be repeated is, the rest gets 502. A 304 ends with its head, and its connection isn't used again if it announces a body, nor that of an answer to HEAD.

Orders, reports and calls to the store use the same parser and were not played one by one.

--- a/src/burdockhead/http/httpclient.cpp
+++ b/src/burdockhead/http/httpclient.cpp
@@ -1,4 +1,6 @@
 #include <burdockhead/http/httpclient.h>
+#include <burdockhead/http/httprequest.h>
+#include <burdockhead/http/responsestatus.h>
 
 #include <curl/curl.h>
 
@@ -27,6 +29,7 @@
     std::vector<HttpHeader> m_responseHeaders;
     bool m_headReported = false;
     bool m_isHeadWhole = false;      // The empty line after the latest head has come.
+    bool m_isInvalid = false;        // What came is no response in HTTP.
     std::size_t m_bodyBytesRead = 0; // By the library.
 };
 
@@ -47,6 +50,24 @@
         open.m_handlers.m_onHead(static_cast<int>(status), open.m_responseHeaders);
 }
 
+// Whether the head announces a body where none may follow.
+bool announcesForbiddenBody(const OpenCall &open)
+{
+    long status = 0;
+    curl_easy_getinfo(open.m_easy, CURLINFO_RESPONSE_CODE, &status);
+    const auto length = findHeader(open.m_responseHeaders, "Content-Length");
+    return mustAnnounceNoBody(static_cast<unsigned>(status))
+           && (length.value_or("0") != "0"
+               || findHeader(open.m_responseHeaders, "Transfer-Encoding").has_value());
+}
+
+// Fails the call by returning another number than the size.
+std::size_t rejectResponse(OpenCall &open)
+{
+    open.m_isInvalid = true;
+    return 0;
+}
+
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &open = *static_cast<OpenCall *>(user);
@@ -56,9 +77,11 @@
     if (line.starts_with("HTTP/")) {
         open.m_responseHeaders.clear();
         open.m_isHeadWhole = false;
-        return size;
+        return hasValidStatus(line) ? size : rejectResponse(open);
     }
     if (line.empty()) {
+        if (announcesForbiddenBody(open))
+            return rejectResponse(open);
         open.m_isHeadWhole = true;
         return size;
     }
@@ -222,9 +245,11 @@
         outcome.m_sent = wasSent(open.m_easy);
         long status = 0;
         curl_easy_getinfo(open.m_easy, CURLINFO_RESPONSE_CODE, &status);
-        outcome.m_status = static_cast<int>(status);
+        outcome.m_status = open.m_isInvalid ? 0 : static_cast<int>(status);
         if (outcome.m_completed)
             reportHead(open);
+        else if (open.m_isInvalid)
+            outcome.m_reason = "the response is not valid in HTTP";
         else
             outcome.m_reason =
                 result == CURLE_OK ? "the head is cut short" : curl_easy_strerror(result);
--- a/src/burdockhead/net/httpclientpool.cpp
+++ b/src/burdockhead/net/httpclientpool.cpp
@@ -1,4 +1,5 @@
 #include <burdockhead/http/httprequest.h>
+#include <burdockhead/http/responsestatus.h>
 #include <burdockhead/net/httpclientpool.h>
 #include <burdockhead/net/httpmessageparser.h>
 #include <burdockhead/net/httpwriting.h>
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
 // More interim answers than this to one request aren't waited for.
 constexpr unsigned maxInterimAnswers = 8;
 // Kept for as long at the most when the peer doesn't say how long it keeps a connection.
@@ -255,7 +255,7 @@
 
 void ClientConnection::messageHead(HttpHead head)
 {
-    m_isInterim = head.m_status < firstFinalStatus;
+    m_isInterim = static_cast<unsigned>(head.m_status) < firstFinalStatus;
     if (m_isInterim) {
         ++m_interimAnswers;
         return;
--- a/src/burdockhead/net/httpmessageparser.cpp
+++ b/src/burdockhead/net/httpmessageparser.cpp
@@ -1,3 +1,4 @@
+#include <burdockhead/http/responsestatus.h>
 #include <burdockhead/net/httpmessageparser.h>
 
 #include <algorithm>
@@ -18,11 +19,6 @@
     });
 }
 
-bool mayHaveBody(unsigned status)
-{
-    return status >= 200 && status != 204 && status != 304;
-}
-
 } // namespace
 
 struct HttpMessageParser::Private
@@ -35,11 +31,14 @@
     static Private &of(http_parser *parser) { return *static_cast<Private *>(parser->data); }
     static http_parser_settings callbacks();
     int headComplete(http_parser *parser);
+    bool isResponseValid(const http_parser &parser) const;
+    void keepStatusLine(std::string_view bytes);
 
     const HttpMessageType m_type;
     HttpMessageSink &m_sink;
     http_parser m_parser{};
     HttpHead m_head;
+    std::string m_statusLine; // Its first bytes.
     bool m_lastWasValue = true;
     bool m_hasNoBody = false;
     bool m_hasHead = false;
@@ -49,13 +48,33 @@
     std::size_t m_bytes = 0;
 };
 
+// Empty lines before a message are skipped, as by the library.
+void HttpMessageParser::Private::keepStatusLine(std::string_view bytes)
+{
+    if (m_type != HttpMessageType::Response || m_statusLine.size() == statusLineBytes)
+        return;
+    if (m_statusLine.empty())
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    m_statusLine.append(bytes.substr(0, statusLineBytes - m_statusLine.size()));
+}
+
+// What isn't a response in the protocol must not be waited for or passed on as one.
+bool HttpMessageParser::Private::isResponseValid(const http_parser &parser) const
+{
+    const bool isChunked = (parser.flags & F_CHUNKED) != 0;
+    const bool hasLength = parser.content_length != noContentLength && parser.content_length > 0;
+    return hasValidStatus(m_statusLine)
+           && !(mustAnnounceNoBody(parser.status_code) && (isChunked || hasLength));
+}
+
 int HttpMessageParser::Private::headComplete(http_parser *parser)
 {
     if (parser->upgrade != 0 && m_type == HttpMessageType::Request) {
         m_isMalformed = true; // Tunnels are not offered.
         return -1;
     }
-    if (!hasValidNames(m_head.m_headers)) {
+    const bool isValid = m_type == HttpMessageType::Request || isResponseValid(*parser);
+    if (!isValid || !hasValidNames(m_head.m_headers)) {
         m_isMalformed = true;
         return -1;
     }
@@ -69,8 +88,13 @@
         m_head.m_contentLength = parser->content_length;
     m_head.m_endsWithConnection = m_type == HttpMessageType::Response && !m_hasNoBody && !isChunked
                                   && !m_head.m_contentLength && mayHaveBody(parser->status_code);
+    const bool hasNoBody =
+        m_type == HttpMessageType::Response && (m_hasNoBody || !mayHaveBody(parser->status_code));
+    // A peer may send the content that such a head announces nevertheless, at any time.
+    if (hasNoBody && (isChunked || m_head.m_contentLength.value_or(0) > 0))
+        m_head.m_keepsConnection = false;
     m_sink.messageHead(std::move(m_head));
-    return m_hasNoBody ? 1 : 0;
+    return hasNoBody ? 1 : 0;
 }
 
 http_parser_settings HttpMessageParser::Private::callbacks()
@@ -129,6 +153,7 @@
                      d.m_type == HttpMessageType::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     d.m_parser.data = &d;
     d.m_head = {};
+    d.m_statusLine.clear();
     d.m_lastWasValue = true;
     d.m_hasNoBody = hasNoBody;
     d.m_hasHead = false;
@@ -145,6 +170,7 @@
     if (d.m_isMalformed || d.m_isComplete || bytes.empty())
         return 0;
     const bool hadHead = d.m_hasHead;
+    d.keepStatusLine(bytes);
     const std::size_t used =
         http_parser_execute(&d.m_parser, &settings, bytes.data(), bytes.size());
     if (!hadHead)
--- a/tests/internal/net/test_httpmessageparser.cpp
+++ b/tests/internal/net/test_httpmessageparser.cpp
@@ -97,4 +97,65 @@
     BOOST_TEST(parser.isComplete());
 }
 
+// An endpoint in trouble sent status 000: its clients waited until their time limit, and got 600
+// and 999 as answers.
+BOOST_AUTO_TEST_CASE(a_status_that_no_response_can_have_is_malformed)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999", "20", "99", "0200",
+                                     "2000", "-20", "2x0", " 200", ""}) {
+        Collected sink;
+        HttpMessageParser parser(HttpMessageType::Response, sink);
+        parser.feed("HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_TEST(parser.isMalformed(), status);
+        BOOST_TEST(!parser.hasHead(), status);
+    }
+    for (const std::string status : {"100 C", "199 X", "200", "204 N", "299 X", "404 N", "599 X"}) {
+        Collected sink;
+        HttpMessageParser parser(HttpMessageType::Response, sink);
+        parser.feed("HTTP/1.1 " + status + "\r\n\r\n");
+        BOOST_TEST(parser.hasHead(), status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_status_is_checked_in_any_pieces)
+{
+    for (const std::string answer : {"\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 X\r\n\r\n"}) {
+        Collected sink;
+        HttpMessageParser parser(HttpMessageType::Response, sink);
+        for (const char byte : answer)
+            parser.feed({&byte, 1});
+        BOOST_TEST(parser.isMalformed() == (answer.find("000") != std::string::npos), answer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_that_announces_a_body_where_none_may_be_is_malformed)
+{
+    for (const std::string status : {"100", "199", "204", "205"}) {
+        for (const std::string field : {"Content-Length: 50", "Transfer-Encoding: chunked"}) {
+            Collected sink;
+            HttpMessageParser parser(HttpMessageType::Response, sink);
+            std::string head = "HTTP/1.1 ";
+            head.append(status).append(" X\r\n").append(field).append("\r\n\r\n");
+            parser.feed(head);
+            BOOST_TEST(parser.isMalformed(), head);
+        }
+    }
+}
+
+// Bytes behind such an answer once reached its client, on a connection that went on.
+BOOST_AUTO_TEST_CASE(a_response_without_a_body_ends_with_its_head)
+{
+    for (const std::string head : {"HTTP/1.1 204 No Content\r\n\r\n",
+                                   "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n",
+                                   "HTTP/1.1 304 Not Modified\r\nContent-Length: 50\r\n\r\n",
+                                   "HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        Collected sink;
+        HttpMessageParser parser(HttpMessageType::Response, sink);
+        BOOST_TEST(parser.feed(head + std::string(50, 'x')) == head.size(), head);
+        BOOST_TEST(parser.isComplete(), head);
+        BOOST_TEST(sink.m_body.empty(), head);
+        BOOST_TEST(sink.m_head.m_keepsConnection == (head.find("304") == std::string::npos), head);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/fleet/unsoundendpoint.cpp
+++ b/tests/standins/fleet/unsoundendpoint.cpp
@@ -101,6 +101,12 @@
            + R"("coldRemainingMs":0,"born":1777694836900,"sequence":1})";
 }
 
+void UnsoundEndpoint::setAnswer(std::string statusLine, std::string rest)
+{
+    m_statusLine = std::move(statusLine);
+    m_rest = std::move(rest);
+}
+
 void UnsoundEndpoint::accept()
 {
     m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
@@ -154,6 +160,10 @@
                                    + "Content-Length: 2\r\n\r\nok");
         return;
     }
+    if (m_kind == UnsoundBytes::GivenAnswer) {
+        connection.m_stream->write(m_statusLine + "\r\n" + headers + m_rest);
+        return;
+    }
     if (m_kind >= UnsoundBytes::UnframedAnswer) {
         answerUnframed(connection, "HTTP/1.1 200 OK\r\n" + headers, id);
         return;
--- a/tests/standins/fleet/unsoundendpoint.h
+++ b/tests/standins/fleet/unsoundendpoint.h
@@ -31,6 +31,7 @@
     UnframedReset,        // The connection is reset after a part of the answer.
     UnframedStream,       // Events 1 to 6 of EndpointStandIn.
     UnframedPartialEvent, // Events 1 to 3 and a part of the next.
+    GivenAnswer,          // Answers with what setAnswer() says.
 };
 
 // An endpoint of the service "app", or of "llm" for events, that speaks bytes instead of HTTP. What
@@ -46,8 +47,15 @@
     // Its entry for service discovery, as JSON text.
     std::string entry(const std::string &service) const;
 
+    // Sets the status line with the reason, and the rest of the response from its further headers
+    // on; those that name the request go between them.
+    void setAnswer(std::string statusLine, std::string rest);
+
     std::size_t requests() const { return m_requests; }
 
+    // Returns on how many connections requests have come.
+    std::size_t connections() const { return m_connections.size(); }
+
     // Returns whether, and how often, it ran the request; counted for RepeatedRefusal only.
     bool hasRun(const std::string &requestId) const { return m_ranRequests.contains(requestId); }
     std::size_t runs(const std::string &requestId) const { return m_ranRequests.count(requestId); }
@@ -79,6 +87,8 @@
     TimerId m_timer = 0;
     std::size_t m_requests = 0;
     std::multiset<std::string> m_ranRequests;
+    std::string m_statusLine;
+    std::string m_rest;
 };
 
 } // namespace burdockhead::test
