--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -104,7 +104,7 @@
     return std::make_unique<ChildProcess>(
         std::vector<std::string>{std::string(BURDOCKHEAD_BUILD_FOLDER) + "/burdockhead", "gateway",
                                  "--settings=" + settings},
-        m_folder / (name + ".log"));
+        m_folder / (name + ".log"), m_maxDescriptors);
 }
 
 void GatewayFixture::startGateway()
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -108,8 +108,9 @@
     SocketAddress m_clients;
     SocketAddress m_peers;
     SocketAddress m_metrics;
-    int m_retryBurst = 160;         // In the settings of gateways.
-    std::filesystem::path m_folder; // For settings and logs; removed at the end.
+    int m_retryBurst = 160;           // In the settings of gateways.
+    std::size_t m_maxDescriptors = 0; // Of gateways; 0 for as many as the test may have.
+    std::filesystem::path m_folder;   // For settings and logs; removed at the end.
 
 private:
     std::unique_ptr<ClientCall> call(const SocketAddress &gateway, const std::string &method,
--- a/tests/public/processes/childprocess.cpp
+++ b/tests/public/processes/childprocess.cpp
@@ -1,12 +1,14 @@
 #include "childprocess.h"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <system_error>
 #include <unistd.h>
 
@@ -14,7 +16,8 @@
 
 namespace {
 
-[[noreturn]] void runProgram(const std::vector<std::string> &arguments, const std::string &logFile)
+[[noreturn]] void runProgram(const std::vector<std::string> &arguments, const std::string &logFile,
+                             std::size_t maxDescriptors)
 {
     // A test that is ended from outside must not leave processes behind.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -23,6 +26,11 @@
     dup2(log, STDERR_FILENO);
     // Otherwise ports that the test closes stay open in the child.
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (maxDescriptors > 0) {
+        const rlimit limit = {maxDescriptors, maxDescriptors};
+        if (setrlimit(RLIMIT_NOFILE, &limit) != 0)
+            _exit(126);
+    }
     std::vector<char *> pointers;
     pointers.reserve(arguments.size() + 1);
     for (const std::string &argument : arguments)
@@ -34,11 +42,12 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile)
+ChildProcess::ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile,
+                           std::size_t maxDescriptors)
 {
     m_pid = fork();
     if (m_pid == 0)
-        runProgram(arguments, logFile);
+        runProgram(arguments, logFile, maxDescriptors);
 }
 
 ChildProcess::~ChildProcess()
@@ -100,4 +109,12 @@
     return kilobytes;
 }
 
+std::size_t ChildProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator first("/proc/" + std::to_string(m_pid) + "/fd",
+                                                    error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(first), end(first)));
+}
+
 } // namespace burdockhead
--- a/tests/public/processes/childprocess.h
+++ b/tests/public/processes/childprocess.h
@@ -12,8 +12,10 @@
 class ChildProcess
 {
 public:
-    // Starts the program with its output going to the log file.
-    ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile);
+    // Starts the program with its output going to the log file, and with at most so many open
+    // descriptors; 0 for as many as the test may have.
+    ChildProcess(const std::vector<std::string> &arguments, const std::string &logFile,
+                 std::size_t maxDescriptors = 0);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
@@ -32,6 +34,9 @@
     // Returns the most memory that it has had resident; 0 if that can't be read.
     std::size_t peakMemoryKilobytes() const;
 
+    // Returns the descriptors that it has open; 0 if they can't be read.
+    std::size_t openDescriptors() const;
+
 private:
     pid_t m_pid = -1;
     int m_status = 0;
--- a/tests/public/processes/deployment.cpp
+++ b/tests/public/processes/deployment.cpp
@@ -200,8 +200,10 @@
 {
     DeployedProcess &process = m_processes.at(name);
     process.m_child.reset();
+    const bool isStandIn = process.m_control.m_port == 0;
     process.m_child =
-        std::make_unique<ChildProcess>(process.m_arguments, m_folder + "/" + name + ".log");
+        std::make_unique<ChildProcess>(process.m_arguments, m_folder + "/" + name + ".log",
+                                       isStandIn ? 0 : m_plan.m_maxDescriptors);
 }
 
 std::vector<std::string> Deployment::names(const std::string &prefix) const
--- a/tests/public/processes/deploymentplan.h
+++ b/tests/public/processes/deploymentplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
     std::uint64_t m_answerHoldMilliseconds = 1000;
     std::uint64_t m_kindDeadlineMilliseconds = 30000;
     std::uint64_t m_drainMilliseconds = 30000; // Of entries.
+    std::size_t m_maxDescriptors = 0; // Of entries and agents; 0 for as many as the test may have.
 };
 
 } // namespace burdockhead
