Count only a head's own bytes against its limit

What callers saw: 431 for a request inside the limits, if its head came in several parts and the last one brought bytes of the body too.

Cause: all bytes of a read in which the head ended counted as the head's.

Evidence: a_head_within_its_limit_is_taken_in_whatever_parts_it_comes failed before (no request reached the handler), and passes.

Why it works: the blank line that ends the head is looked for in the bytes themselves, across reads, and nothing after it counts.

--- a/src/burdockhead/net/httpmessageparser.cpp
+++ b/src/burdockhead/net/httpmessageparser.cpp
@@ -19,6 +19,35 @@
     });
 }
 
+// Finds the blank line that ends a head, in whatever parts the bytes come.
+class HeadEndFinder
+{
+public:
+    // Returns how many of the bytes belong to the head.
+    std::size_t find(std::string_view bytes)
+    {
+        for (std::size_t index = 0; index < bytes.size() && !m_isFound; ++index) {
+            const char byte = bytes[index];
+            // Empty lines before a message are skipped, as by the parser.
+            m_isFound = byte == '\n' && m_isLineEmpty && m_hasLine;
+            if (m_isFound)
+                return index + 1;
+            if (byte == '\n') {
+                m_isLineEmpty = true;
+            } else if (byte != '\r') {
+                m_isLineEmpty = false;
+                m_hasLine = true;
+            }
+        }
+        return m_isFound ? 0 : bytes.size();
+    }
+
+private:
+    bool m_hasLine = false;
+    bool m_isLineEmpty = true;
+    bool m_isFound = false;
+};
+
 } // namespace
 
 struct HttpMessageParser::Private
@@ -44,6 +73,7 @@
     bool m_hasHead = false;
     bool m_isComplete = false;
     bool m_isMalformed = false;
+    HeadEndFinder m_headEnd;
     std::size_t m_headBytes = 0;
     std::size_t m_bytes = 0;
 };
@@ -159,6 +189,7 @@
     d.m_hasHead = false;
     d.m_isComplete = false;
     d.m_isMalformed = false;
+    d.m_headEnd = {};
     d.m_headBytes = 0;
     d.m_bytes = 0;
 }
@@ -169,12 +200,11 @@
     Private &d = *m_d;
     if (d.m_isMalformed || d.m_isComplete || bytes.empty())
         return 0;
-    const bool hadHead = d.m_hasHead;
+    if (!d.m_hasHead)
+        d.m_headBytes += d.m_headEnd.find(bytes);
     d.keepStatusLine(bytes);
     const std::size_t used =
         http_parser_execute(&d.m_parser, &settings, bytes.data(), bytes.size());
-    if (!hadHead)
-        d.m_headBytes += used;
     d.m_bytes += used;
     const auto error = HTTP_PARSER_ERRNO(&d.m_parser);
     if (!d.m_isComplete && (error != HPE_OK || used != bytes.size()))
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -115,6 +115,27 @@
     BOOST_TEST(large.received().starts_with("HTTP/1.1 413"));
 }
 
+// Guards against bytes of the body that count as the head's since they come together with its end.
+BOOST_AUTO_TEST_CASE(a_head_within_its_limit_is_taken_in_whatever_parts_it_comes)
+{
+    HttpServerLimits limits;
+    limits.m_maxHeaderBytes = 2000;
+    m_server.m_listener.setLimits(limits);
+    constexpr std::size_t bodyBytes = 1500;
+    std::string head = "POST / HTTP/1.1\r\nContent-Length: 1500\r\nX-Long: ";
+    head += std::string(limits.m_maxHeaderBytes - head.size() - 4, 'x') + "\r\n\r\n";
+    m_client.write(head.substr(0, 100));
+    const auto began = [&] { return m_server.m_listener.mayOweResponses(); };
+    runUntil(m_loop, began);
+    const TimePoint later = Clock::now() + Milliseconds(50);
+    runUntil(m_loop, [&] { return Clock::now() > later; });
+    m_client.write(head.substr(100) + std::string(bodyBytes, 'b'));
+    awaitRequests(1);
+    BOOST_TEST(m_server.m_exchanges[0]->body().size() == bodyBytes);
+    m_server.m_exchanges[0]->answer(200, {}, "fine");
+    runUntil(m_loop, [&] { return m_client.received().ends_with("fine"); });
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_never_ends_is_refused_in_time)
 {
     HttpServerLimits limits;
