Bound the memory that all clients together take

What callers saw: a gateway or rank agent that ran out of memory ended, with all requests in work. Clients had sent many bodies or heads that stop short of their end, or requests ahead.

Cause: each connection had its bounds, all connections together had none; what was counted is what was sent and not what it takes (a header line of four bytes takes 64 and more); and requests were read ahead that nobody could work on yet.

Why it works: ClientBudget counts the capacity of what each connection of any port holds, and lets a request that arrives grow only while there is room in a quarter of the memory that the settings name. For want of room it gives up the largest requests that make no headway, and for an ordinary newcomer also much larger ones; an eighth is kept free for ordinary requests. What is given up gets 503 with Retry-After, before anything was passed on. One who sends ahead isn't read while 16 KiB wait, so that a large sound request sent ahead is no longer cut off (a_large_request_sent_ahead_of_an_answer_is_served). Queues of responses count in the budget too, without a walk over all connections at each write, and give their memory back when they are empty. Large blocks go back to the system as they are freed.

A quarter: requests in work may take three times their size.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -95,6 +95,7 @@
     PeerLink m_peerLink;
     CallRouter m_router;
     StoreUpdates m_storeUpdates;
+    const ClientBudgetPointer m_clientBudget; // Of all ports.
     HttpListener m_clientListener;
     HttpListener m_readinessListener;
     HttpListener m_directoryListener;
@@ -133,12 +134,18 @@
               updateReadiness();
               m_router.refresh();
           })
-    , m_clientListener(m_loop, [this](const auto &exchange) { m_router.handle(exchange); })
-    , m_readinessListener(m_loop, [this](const auto &exchange) { handleReadiness(*exchange); })
-    , m_directoryListener(m_loop, [this](const auto &exchange) { handleAddresses(*exchange); })
-    , m_metricsListener(m_loop, [this](const auto &exchange) { handleMetrics(*exchange); })
+    , m_clientBudget(std::make_shared<ClientBudget>(clientBudgetLimits(settings.m_resources)))
+    , m_clientListener(
+          m_loop, [this](const auto &exchange) { m_router.handle(exchange); }, m_clientBudget)
+    , m_readinessListener(
+          m_loop, [this](const auto &exchange) { handleReadiness(*exchange); }, m_clientBudget)
+    , m_directoryListener(
+          m_loop, [this](const auto &exchange) { handleAddresses(*exchange); }, m_clientBudget)
+    , m_metricsListener(
+          m_loop, [this](const auto &exchange) { handleMetrics(*exchange); }, m_clientBudget)
     , m_orderRelay(m_loop, m_endpointClient, m_endpoints, m_log)
-    , m_orderListener(m_loop, [this](const auto &exchange) { handleControl(exchange); })
+    , m_orderListener(
+          m_loop, [this](const auto &exchange) { handleControl(exchange); }, m_clientBudget)
 {}
 
 PeerRecord GatewayProcess::initialRecord() const
@@ -443,6 +450,12 @@
         .set(static_cast<double>(m_log.droppedLines()));
     m_metrics.gauge("burdockhead_gateway_endpoint_connections")
         .set(static_cast<double>(m_endpointClient.connectionsMade()));
+    m_metrics.gauge("burdockhead_gateway_client_connections")
+        .set(static_cast<double>(m_clientBudget->connectionCount()));
+    m_metrics.gauge("burdockhead_gateway_client_request_bytes")
+        .set(static_cast<double>(m_clientBudget->requestBytes()));
+    m_metrics.gauge("burdockhead_gateway_clients_given_up")
+        .set(static_cast<double>(m_clientBudget->givenUpCount()));
     exchange.answer(statusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                     m_metrics.toPrometheus());
 }
@@ -453,6 +466,7 @@
                const std::function<std::optional<GatewaySettings>()> &readSettings)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    returnLargeBlocksAtOnce();
     initializeLog(settings.m_logLevel, settings.m_name.text());
     GatewayProcess process(settings, protocols, readSettings);
     std::string error;
--- a/src/burdockhead/net/httpexchange.cpp
+++ b/src/burdockhead/net/httpexchange.cpp
@@ -5,10 +5,11 @@
 namespace burdockhead {
 
 HttpExchange::HttpExchange(std::weak_ptr<HttpServerConnection> connection, HttpHead head,
-                           std::string body)
+                           std::string body, ClientCharge charge)
     : m_connection(std::move(connection))
     , m_head(std::move(head))
     , m_body(std::move(body))
+    , m_charge(std::move(charge))
 {}
 
 void HttpExchange::answer(int status, HttpHeaders headers, std::string_view body)
--- a/src/burdockhead/net/httpexchange.h
+++ b/src/burdockhead/net/httpexchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <burdockhead/net/clientcharge.h>
 #include <burdockhead/net/httphead.h>
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace burdockhead {
 
@@ -16,13 +18,18 @@
 class HttpExchange
 {
 public:
-    HttpExchange(std::weak_ptr<HttpServerConnection> connection, HttpHead head, std::string body);
+    // The charge is for the memory of head and body.
+    HttpExchange(std::weak_ptr<HttpServerConnection> connection, HttpHead head, std::string body,
+                 ClientCharge charge);
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     const HttpHead &head() const { return m_head; }
     const std::string &body() const { return m_body; }
 
+    // Returns the body and keeps none.
+    std::string takeBody() { return std::move(m_body); }
+
     // Called once if the client leaves before the answer is complete.
     void onClientGone(std::function<void()> action) { m_clientGone = std::move(action); }
 
@@ -37,6 +44,9 @@
     // Bytes of the answer that wait for the client to read.
     std::size_t queuedBytes() const;
 
+    // Called each time that some of it has been sent.
+    void onSent(std::function<void()> action) { m_sent = std::move(action); }
+
     // Called each time that nothing waits any more.
     void onDrained(std::function<void()> action) { m_drained = std::move(action); }
 
@@ -51,8 +61,10 @@
 
     const std::weak_ptr<HttpServerConnection> m_connection;
     const HttpHead m_head;
-    const std::string m_body;
+    std::string m_body;
+    const ClientCharge m_charge;
     std::function<void()> m_clientGone;
+    std::function<void()> m_sent;
     std::function<void()> m_drained;
     bool m_hasStarted = false;
     bool m_isOver = false;
--- a/src/burdockhead/net/httplistener.cpp
+++ b/src/burdockhead/net/httplistener.cpp
@@ -13,31 +13,27 @@
 
 // The pause after an accept that failed, for want of descriptors for example.
 constexpr Milliseconds acceptRetryPause{100};
+// What the kernel keeps of a client that isn't read; windows are fixed as connections are made.
+constexpr int receiveBufferBytes = static_cast<int>(clientReceiveBufferBytes);
 
 } // namespace
 
 // An accept that has succeeded already comes after the listener has gone.
 struct HttpListener::Private : std::enable_shared_from_this<Private>
 {
-    Private(EventLoop &loop, HttpExchangeHandler handler)
-        : m_shared(std::make_shared<HttpServerShared>(HttpServerShared{loop, std::move(handler)}))
+    Private(EventLoop &loop, HttpExchangeHandler handler, ClientBudgetPointer budget)
+        : m_shared(std::make_shared<HttpServerShared>(
+            HttpServerShared{loop, std::move(handler), std::move(budget)}))
         , m_acceptor(loop.context())
     {
         m_shared->m_forget = [this](HttpServerConnection &connection) {
             m_connections.erase(&connection);
         };
-        m_shared->m_queuedBytes = [this] {
-            std::size_t bytes = 0;
-            for (const auto &[pointer, connection] : m_connections)
-                bytes += connection->queuedBytes();
-            return bytes;
-        };
     }
 
     ~Private()
     {
         m_shared->m_forget = [](HttpServerConnection &) {};
-        m_shared->m_queuedBytes = [] { return std::size_t(0); };
     }
 
     void accept();
@@ -81,12 +77,14 @@
         return;
     }
     auto connection = std::make_shared<HttpServerConnection>(m_shared, descriptor);
-    connection->start();
-    m_connections.emplace(connection.get(), connection);
+    if (connection->start())
+        m_connections.emplace(connection.get(), connection);
 }
 
-HttpListener::HttpListener(EventLoop &loop, HttpExchangeHandler handler)
-    : m_d(std::make_shared<Private>(loop, std::move(handler)))
+HttpListener::HttpListener(EventLoop &loop, HttpExchangeHandler handler, ClientBudgetPointer budget)
+    : m_d(std::make_shared<Private>(loop, std::move(handler),
+                                    budget ? std::move(budget)
+                                           : std::make_shared<ClientBudget>(ClientBudgetLimits())))
 {}
 
 HttpListener::~HttpListener() = default;
@@ -100,6 +98,9 @@
         m_d->m_acceptor.open(endpoint.protocol(), failure);
     if (!failure)
         m_d->m_acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+    if (!failure)
+        m_d->m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                   failure);
     if (!failure)
         m_d->m_acceptor.bind(endpoint, failure);
     if (!failure)
@@ -117,6 +118,11 @@
     m_d->m_shared->m_limits = limits;
 }
 
+void HttpListener::setRefusalBody(std::function<std::string(int status)> refusalBody)
+{
+    m_d->m_shared->m_refusalBody = std::move(refusalBody);
+}
+
 void HttpListener::closeAfterAnswers()
 {
     m_d->m_shared->m_closesAfterAnswers = true;
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <burdockhead/base/socketaddress.h>
+#include <burdockhead/net/clientbudget.h>
 #include <burdockhead/net/eventloop.h>
 #include <burdockhead/net/httpexchange.h>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -17,6 +19,9 @@
     std::size_t m_maxBodyBytes = 4 << 20;
     Milliseconds m_headerTimeout{3000};
     Milliseconds m_idleTimeout{15000};
+    Milliseconds m_writeTimeout{30000}; // For which a client may read nothing that waits for it.
+    Milliseconds m_handleTimeout{0};    // From a request to the end of its answer; 0 for no limit.
+    std::size_t m_maxQueuedBytes = 4 << 20; // Of an answer, for a client that doesn't read.
 
     friend bool operator==(const HttpServerLimits &, const HttpServerLimits &) = default;
 };
@@ -26,7 +31,9 @@
 class HttpListener
 {
 public:
-    HttpListener(EventLoop &loop, HttpExchangeHandler handler);
+    // Listeners of a process share a budget; without one, this one's clients are bounded only by
+    // the budget's defaults.
+    HttpListener(EventLoop &loop, HttpExchangeHandler handler, ClientBudgetPointer budget = {});
     ~HttpListener();
     HttpListener(const HttpListener &) = delete;
     HttpListener &operator=(const HttpListener &) = delete;
@@ -36,6 +43,10 @@
 
     void setLimits(const HttpServerLimits &limits);
 
+    // Sets what makes the bodies, in JSON, of the answers to requests that are refused before they
+    // reach the handler. Without it they have none.
+    void setRefusalBody(std::function<std::string(int status)> refusalBody);
+
     // From now on each answer closes its connection.
     void closeAfterAnswers();
 
--- a/src/burdockhead/net/httpmessageparser.cpp
+++ b/src/burdockhead/net/httpmessageparser.cpp
@@ -75,6 +75,8 @@
     bool m_isMalformed = false;
     HeadEndFinder m_headEnd;
     std::size_t m_headBytes = 0;
+    std::size_t m_maxHeaders = 0; // For which the head has room.
+    std::size_t m_textBytes = 0;  // Of the target, names and values.
     std::size_t m_bytes = 0;
 };
 
@@ -133,6 +135,7 @@
     http_parser_settings_init(&settings);
     settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
         of(parser).m_head.m_target.append(at, length);
+        of(parser).m_textBytes += length;
         return 0;
     };
     settings.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
@@ -143,6 +146,8 @@
             d.m_head.m_headers.emplace_back();
         d.m_lastWasValue = false;
         d.m_head.m_headers.back().m_name.append(at, length);
+        d.m_maxHeaders = d.m_head.m_headers.capacity();
+        d.m_textBytes += length;
         return 0;
     };
     settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
@@ -151,6 +156,7 @@
             return 0;
         d.m_lastWasValue = true;
         d.m_head.m_headers.back().m_value.append(at, length);
+        d.m_textBytes += length;
         return 0;
     };
     settings.on_headers_complete = [](http_parser *parser) {
@@ -191,6 +197,8 @@
     d.m_isMalformed = false;
     d.m_headEnd = {};
     d.m_headBytes = 0;
+    d.m_maxHeaders = 0;
+    d.m_textBytes = 0;
     d.m_bytes = 0;
 }
 
@@ -248,4 +256,10 @@
     return m_d->m_headBytes;
 }
 
+// Texts take up to twice their length.
+std::size_t HttpMessageParser::headMemory() const
+{
+    return m_d->m_maxHeaders * sizeof(HttpHeader) + 2 * m_d->m_textBytes;
+}
+
 } // namespace burdockhead
--- a/src/burdockhead/net/httpmessageparser.h
+++ b/src/burdockhead/net/httpmessageparser.h
@@ -51,9 +51,12 @@
     // Whether the head has come.
     bool hasHead() const;
 
-    // Bytes of the head so far.
+    // Bytes of the head so far, as they were sent.
     std::size_t headBytes() const;
 
+    // Memory that the head takes, here or where it has gone.
+    std::size_t headMemory() const;
+
 private:
     struct Private;
     std::unique_ptr<Private> m_d;
--- a/src/burdockhead/net/tcpstream.cpp
+++ b/src/burdockhead/net/tcpstream.cpp
@@ -21,6 +21,8 @@
 constexpr int keepAliveProbes = 2;
 // Milliseconds that sent bytes may stay unacknowledged; the same span.
 constexpr unsigned unacknowledgedMilliseconds = 3000;
+// Capacity that a queue keeps once it is empty.
+constexpr std::size_t keptQueueBytes = 16384;
 
 void setOption(int descriptor, int level, int option, int value)
 {
@@ -38,6 +40,15 @@
     setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
 }
 
+// Empties a queue, and frees its memory if that is much.
+void clearQueue(std::string &queue)
+{
+    if (queue.capacity() > keptQueueBytes)
+        queue = std::string();
+    else
+        queue.clear();
+}
+
 } // namespace
 
 struct TcpStream::Private : std::enable_shared_from_this<Private>
@@ -122,7 +133,7 @@
     if (m_owner == nullptr || !m_connected || m_isSending)
         return;
     if (m_sentOffset == m_sending.size()) {
-        m_sending.clear();
+        clearQueue(m_sending);
         m_sentOffset = 0;
         m_sending.swap(m_queued);
     }
@@ -164,6 +175,8 @@
                                 return;
                             }
                             self->send();
+                            if (self->m_owner != nullptr)
+                                self->m_owner->streamSent();
                         });
 }
 
--- a/src/burdockhead/net/tcpstream.h
+++ b/src/burdockhead/net/tcpstream.h
@@ -25,6 +25,9 @@
     virtual void streamConnected() {}
     virtual void streamReceived(std::string_view bytes) = 0;
 
+    // Some of what had to wait has been handed to the network.
+    virtual void streamSent() {}
+
     // All that was written has been handed to the network, after some of it had to wait.
     virtual void streamDrained() {}
 
--- a/src/burdockhead/rankagent/rankagentprocess.cpp
+++ b/src/burdockhead/rankagent/rankagentprocess.cpp
@@ -128,7 +128,9 @@
           {[this](const auto &changes, const auto &) { applyEndpoints(changes, true); },
            [this](const auto &changes, const auto &) { return applyEndpoints(changes, false); }},
           Random(systemSeed()))
-    , m_listener(m_loop, [this](const auto &exchange) { handle(exchange); })
+    , m_listener(
+          m_loop, [this](const auto &exchange) { handle(exchange); },
+          std::make_shared<ClientBudget>(clientBudgetLimits(settings.m_resources)))
 {}
 
 StoreFollowerDependencies RankAgentProcess::followerDependencies()
@@ -417,6 +419,7 @@
 int runRankAgent(const RankAgentSettings &settings, const RankAgentProtocols &protocols)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    returnLargeBlocksAtOnce();
     initializeLog(settings.m_logLevel, settings.m_name.text());
     RankAgentProcess process(settings, protocols);
     std::string error;
--- a/src/burdockhead/settings/processsettings.h
+++ b/src/burdockhead/settings/processsettings.h
@@ -5,6 +5,7 @@
 #include <burdockhead/base/timepoint.h>
 #include <burdockhead/gateway/gatewaybounds.h>
 #include <burdockhead/observe/loglevel.h>
+#include <burdockhead/process/resourcelimits.h>
 #include <burdockhead/settings/weburl.h>
 
 #include <cstddef>
@@ -36,6 +37,7 @@
     WebUrl m_platform;
     std::vector<SocketAddress> m_seeds; // Control addresses to join without the platform.
     ProcessLimits m_limits;
+    ResourceLimits m_resources;
 
     friend bool operator==(const ProcessSettings &, const ProcessSettings &) = default;
 };
@@ -75,6 +77,7 @@
     std::vector<SocketAddress> m_seeds; // Peer addresses contacted for joining.
     bool m_isFirstStart = false;        // All gateways start for the first time.
     GatewayBounds m_bounds;
+    ResourceLimits m_resources;
 
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
@@ -90,6 +93,7 @@
     GroupName m_service;
     SocketAddress m_store;
     std::vector<SocketAddress> m_gateways; // Peer addresses of gateways that relay orders.
+    ResourceLimits m_resources = {128};
 
     friend bool operator==(const RankAgentSettings &, const RankAgentSettings &) = default;
 };
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -12,6 +12,7 @@
 constexpr double maxRatio = 100;
 constexpr std::uint64_t maxCount = 1000000;
 constexpr std::uint64_t maxBodyBytes = 1ULL << 30;
+constexpr std::uint64_t maxMegabytes = 1ULL << 20;
 
 // A section of a settings file with its key bindings.
 template <typename Settings>
@@ -59,6 +60,20 @@
         &Settings::m_limits, bindNumber<ProcessLimits>(key, member, low, high, meaning));
 }
 
+// The keys of a section on what a process may use of its VM.
+template <typename Settings>
+std::vector<KeyBinding<Settings>> resourceKeys()
+{
+    using L = ResourceLimits;
+    const auto bind = [](const KeyBinding<L> &nestedBinding) {
+        return bindNested<Settings, L>(&Settings::m_resources, nestedBinding);
+    };
+    return {bind(bindNumber<L>("memory_mb", &L::m_memoryMegabytes, 1, maxMegabytes,
+                               "Memory of the VM that the process may use; a quarter of it is for "
+                               "requests that clients have sent, an eighth for responses that they "
+                               "don't read"))};
+}
+
 template <typename Settings>
 SectionBinding<Settings> processSection()
 {
@@ -104,20 +119,24 @@
 {
     using S = Settings;
     using L = ProcessLimits;
-    return {"limits",
-            false,
-            {bindLimit<S>("max_body_bytes", &L::m_maxBodyBytes, 1, maxBodyBytes,
-                          "Bytes of a request's body"),
-             bindLimit<S>("max_header_count", &L::m_maxHeaderCount, 1, maxCount,
-                          "Header fields of a request"),
-             bindLimit<S>("max_connections", &L::m_maxConnections, 1, maxCount,
-                          "Open connections on a port"),
-             bindLimit<S>("max_waiting_requests", &L::m_maxWaitingRequests, 0, maxCount,
-                          "Requests that may be queued in the process"),
-             bindLimit<S>("answer_hold_ms", &L::m_addressLifetime, 1, maxMilliseconds,
-                          "How long clients may cache a response with addresses"),
-             bindLimit<S>("drain_ms", &L::m_drainTimeout, 0, maxMilliseconds,
-                          "How long a shutdown waits for requests in flight")}};
+    SectionBinding<S> section = {
+        "limits",
+        false,
+        {bindLimit<S>("max_body_bytes", &L::m_maxBodyBytes, 1, maxBodyBytes,
+                      "Bytes of a request's body"),
+         bindLimit<S>("max_header_count", &L::m_maxHeaderCount, 1, maxCount,
+                      "Header fields of a request"),
+         bindLimit<S>("max_connections", &L::m_maxConnections, 1, maxCount,
+                      "Open connections on a port"),
+         bindLimit<S>("max_waiting_requests", &L::m_maxWaitingRequests, 0, maxCount,
+                      "Requests that may be queued in the process"),
+         bindLimit<S>("answer_hold_ms", &L::m_addressLifetime, 1, maxMilliseconds,
+                      "How long clients may cache a response with addresses"),
+         bindLimit<S>("drain_ms", &L::m_drainTimeout, 0, maxMilliseconds,
+                      "How long a shutdown waits for requests in flight")}};
+    for (const auto &binding : resourceKeys<S>())
+        section.m_keys.push_back(binding);
+    return section;
 }
 
 template <typename Settings>
@@ -254,7 +273,8 @@
         {"seeds",
          false,
          {bindKey<S>("gateways", &S::m_gateways, allowedAddressList,
-                     "Peer addresses of gateways that relay orders")}}};
+                     "Peer addresses of gateways that relay orders")}},
+        {"limits", false, resourceKeys<S>()}};
     return bindings;
 }
 
@@ -272,7 +292,8 @@
           bindKey<S>("first_start", &S::m_isFirstStart, "true or false",
                      "Whether no gateway has run here before: retries then need not wait until "
                      "those of its predecessor are outside of the window")}},
-        boundsSection()};
+        boundsSection(),
+        {"limits", false, resourceKeys<S>()}};
     return bindings;
 }
 
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -57,7 +57,6 @@
     BOOST_TEST(m_client.received().find("one") < m_client.received().find("503"));
 }
 
-// The HTTP server of the callers' port notices this only when it writes.
 BOOST_AUTO_TEST_CASE(a_client_that_leaves_while_its_request_is_in_work_is_noticed)
 {
     m_client.write("GET /a HTTP/1.1\r\n\r\n");
@@ -157,6 +156,44 @@
     BOOST_TEST(m_client.received().ends_with("last"));
 }
 
+// Guards against a connection that is closed since more than a little is sent ahead on it.
+BOOST_AUTO_TEST_CASE(a_large_request_sent_ahead_of_an_answer_is_served)
+{
+    constexpr std::size_t bodyBytes = 1000000;
+    m_client.write("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: "
+                   + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b'));
+    awaitRequests(1);
+    const TimePoint later = Clock::now() + Milliseconds(100);
+    runUntil(m_loop, [&] { return Clock::now() > later; });
+    m_server.m_exchanges[0]->answer(200, {}, "one");
+    awaitRequests(2);
+    BOOST_TEST(m_server.m_exchanges[1]->body().size() == bodyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_reads_nothing_is_disconnected_and_one_that_reads_late_is_not)
+{
+    constexpr Milliseconds writeTimeout{200};
+    constexpr std::size_t answerBytes = 3000000;
+    HttpServerLimits limits;
+    limits.m_writeTimeout = writeTimeout;
+    m_server.m_listener.setLimits(limits);
+    m_client.write("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->answer(200, {}, std::string(answerBytes, 'x'));
+    runUntil(m_loop, [&] { return m_client.received().size() > answerBytes; });
+    const TimePoint later = Clock::now() + 2 * writeTimeout;
+    runUntil(m_loop, [&] { return Clock::now() > later; });
+    BOOST_TEST(!m_client.hasEnded());
+    m_client.pauseReading();
+    m_client.write("GET /b HTTP/1.1\r\n\r\n");
+    awaitRequests(2);
+    m_server.m_exchanges[1]->startAnswer(200, {});
+    m_server.m_exchanges[1]->sendPart(std::string(answerBytes, 'x'));
+    m_server.m_exchanges[1]->sendPart("y");
+    if (m_server.m_exchanges[1]->queuedBytes() > 0)
+        runUntil(m_loop, [&] { return m_server.m_gone == 1; });
+}
+
 // The request of a client that has just connected may be on its way.
 BOOST_AUTO_TEST_CASE(a_connection_without_a_request_so_far_is_not_closed_as_idle)
 {
--- a/tests/public/crowds/crowdchecks.h
+++ b/tests/public/crowds/crowdchecks.h
@@ -24,6 +24,8 @@
                         std::size_t maxDescriptors)
 {
     BOOST_TEST(process.running());
+    BOOST_TEST_MESSAGE("peak memory " << process.peakMemoryKilobytes() << " KB, descriptors "
+                                      << process.openDescriptors());
     BOOST_TEST(process.peakMemoryKilobytes() > 0U);
     BOOST_TEST(process.peakMemoryKilobytes() < maxMemoryKilobytes);
     BOOST_TEST(process.openDescriptors() > 0U);
