Keep descriptors free from clients

What callers saw: a gateway or rank agent whose clients held all descriptors took no further connection, and could reach neither endpoints nor the store.

Cause: ports accepted without bound.

Evidence: two tests of test_gatewaycrowds and one of test_rankagentcrowds failed before: 400 of 400 descriptors open (bound 350) and no answer to an ordinary request.

Why it works: three quarters of the descriptors are for clients, over all ports. New setting: [limits] max_descriptors, by default what the system allows the process.

--- a/src/burdockhead/process/resourcelimits.cpp
+++ b/src/burdockhead/process/resourcelimits.cpp
@@ -1,5 +1,8 @@
 #include <burdockhead/process/resourcelimits.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <malloc.h>
 
 namespace burdockhead {
@@ -29,18 +32,37 @@
     return allParts;
 }
 
+// Fraction of the descriptors.
+constexpr std::size_t connectionShareNumerator = 3;
+constexpr std::size_t connectionShareDenominator = 4;
+// Used if the system doesn't tell.
+constexpr std::size_t defaultDescriptors = 1024;
 // The allocator would raise its own threshold up to 32 MB with each large block that is freed.
 constexpr int largeBlockBytes = 131072;
 
+std::size_t systemDescriptorLimit()
+{
+    rlimit limit = {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return defaultDescriptors;
+    return static_cast<std::size_t>(limit.rlim_cur);
+}
+
 } // namespace
 
+std::size_t descriptorLimit(const ResourceLimits &limits)
+{
+    const std::size_t system = systemDescriptorLimit();
+    return limits.m_maxDescriptors == 0 ? system : std::min(limits.m_maxDescriptors, system);
+}
+
 ClientBudgetLimits clientBudgetLimits(const ResourceLimits &limits, PortKind ports)
 {
     const std::size_t memory = limits.m_memoryMegabytes * bytesPerMegabyte;
-    ClientBudgetLimits budget;
-    budget.m_maxRequestBytes = memory / requestShareDivisor * partsOf(ports) / allParts;
-    budget.m_maxResponseBytes = memory / responseShareDivisor;
-    return budget;
+    const std::size_t connections =
+        descriptorLimit(limits) * connectionShareNumerator / connectionShareDenominator;
+    return {memory / requestShareDivisor * partsOf(ports) / allParts, memory / responseShareDivisor,
+            connections * partsOf(ports) / allParts};
 }
 
 void returnLargeBlocksAtOnce()
--- a/src/burdockhead/process/resourcelimits.h
+++ b/src/burdockhead/process/resourcelimits.h
@@ -10,6 +10,7 @@
 struct ResourceLimits
 {
     std::size_t m_memoryMegabytes = 256;
+    std::size_t m_maxDescriptors = 0; // 0 for as many as the system allows.
 
     friend bool operator==(const ResourceLimits &, const ResourceLimits &) = default;
 };
@@ -26,6 +27,9 @@
 // for what endpoints send, and for the process's own connections and files.
 ClientBudgetLimits clientBudgetLimits(const ResourceLimits &limits, PortKind ports = PortKind::All);
 
+// Returns the descriptors that the process may open.
+std::size_t descriptorLimit(const ResourceLimits &limits);
+
 // Has the allocator return large blocks to the system as soon as they are freed, so that memory
 // that clients have made the process use isn't kept.
 void returnLargeBlocksAtOnce();
--- a/src/burdockhead/settings/processsettings.h
+++ b/src/burdockhead/settings/processsettings.h
@@ -93,7 +93,7 @@
     GroupName m_service;
     SocketAddress m_store;
     std::vector<SocketAddress> m_gateways; // Peer addresses of gateways that relay orders.
-    ResourceLimits m_resources = {128};
+    ResourceLimits m_resources = {128, 0};
 
     friend bool operator==(const RankAgentSettings &, const RankAgentSettings &) = default;
 };
--- a/src/burdockhead/settings/settingstext.cpp
+++ b/src/burdockhead/settings/settingstext.cpp
@@ -68,10 +68,14 @@
     const auto bind = [](const KeyBinding<L> &nestedBinding) {
         return bindNested<Settings, L>(&Settings::m_resources, nestedBinding);
     };
-    return {bind(bindNumber<L>("memory_mb", &L::m_memoryMegabytes, 1, maxMegabytes,
-                               "Memory of the VM that the process may use; a quarter of it is for "
-                               "requests that clients have sent, an eighth for responses that they "
-                               "don't read"))};
+    return {
+        bind(bindNumber<L>("memory_mb", &L::m_memoryMegabytes, 1, maxMegabytes,
+                           "Memory of the VM that the process may use; a quarter of it is for "
+                           "requests that clients have sent, an eighth for responses that they "
+                           "don't read")),
+        bind(bindNumber<L>("max_descriptors", &L::m_maxDescriptors, 0, maxCount,
+                           "Open descriptors, three quarters of which are for clients; 0 for as "
+                           "many as the system allows"))};
 }
 
 template <typename Settings>
