Read what waits before what comes

What callers saw: of requests sent ahead on one connection, a later part could be read before an earlier one, so that a sound request got 400, or its body was taken for a request.

Cause: between the end of an answer and the reading of what waited, which is posted to the loop, bytes that had just come were parsed at once.

Evidence: what_comes_while_a_further_request_waits_to_be_read_is_read_after_it failed before: the second request never reached the handler.

Why it works: while something waits, what comes is put behind it.

--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -109,7 +109,7 @@
     const auto self = shared_from_this();
     if (m_isLingering)
         return;
-    if (m_exchange || m_isConsuming) {
+    if (m_exchange || m_isConsuming || !m_pending.empty()) {
         keepForLater(bytes);
         return;
     }
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -156,6 +156,20 @@
     BOOST_TEST(m_client.received().ends_with("last"));
 }
 
+// Guards against bytes that are parsed before those which came earlier and wait.
+BOOST_AUTO_TEST_CASE(what_comes_while_a_further_request_waits_to_be_read_is_read_after_it)
+{
+    m_client.write("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 4\r\n\r\nab");
+    awaitRequests(1);
+    // The rest can be read before the loop goes on with what waits.
+    m_loop.post([&] {
+        m_client.write("cd");
+        m_loop.post([&] { m_server.m_exchanges[0]->answer(200, {}, "one"); });
+    });
+    awaitRequests(2);
+    BOOST_TEST(m_server.m_exchanges[1]->body() == "abcd");
+}
+
 // Guards against a connection that is closed since more than a little is sent ahead on it.
 BOOST_AUTO_TEST_CASE(a_large_request_sent_ahead_of_an_answer_is_served)
 {
