Bound what callers make entries and agents hold

What callers saw: an entry that ran out of memory or descriptors ended or took no further connection. Callers had sent bodies in chunks, some of one byte each, that stop short of their end or have none, or had just connected.

Cause: the HTTP library of the callers' and operators' ports kept a record for each chunk, up to twice the limit of a body for each connection, and had no bound over all connections but their number, which could be more than there are descriptors.

Why it works: HttpServer is the gateways' HttpListener now, on a thread of its own, before threads that run the handlers, so that ClientBudget holds there too. Callers' and operators' ports each have a part of what clients may use. Refusals by the server keep the form of the error table. A caller that leaves is noticed at once and no longer only when something is written. The library and its package are gone.

--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
     ccache clang-format clang-tidy cmake curl g++ git libabsl-dev libasio-dev libboost-dev
     libboost-log-dev libboost-test-dev libcurl4-openssl-dev libfmt-dev libhttp-parser-dev
-    libinih-dev libmsgpack-cxx-dev libnng-dev librapidcheck-dev librestinio-dev libxxhash-dev
+    libinih-dev libmsgpack-cxx-dev libnng-dev librapidcheck-dev libxxhash-dev
     ninja-build nlohmann-json3-dev procps python3
 )
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
--- a/src/burdockhead/agent/agentprocess.cpp
+++ b/src/burdockhead/agent/agentprocess.cpp
@@ -6,6 +6,7 @@
 #include <burdockhead/observe/metrics.h>
 #include <burdockhead/process/operatorsport.h>
 #include <burdockhead/process/processstart.h>
+#include <burdockhead/process/resourcelimits.h>
 #include <burdockhead/process/runprocess.h>
 #include <burdockhead/process/stopsignal.h>
 #include <burdockhead/transport/framelistener.h>
@@ -80,11 +81,12 @@
                                            {m_settings.m_name, m_incarnation,
                                             configuration ? configuration->m_version : 0});
                  })
-    , m_operators(settings.m_operators, {m_metrics, m_events, [this] { return !currentRefusal(); },
-                                         [this] { updateMetrics(); },
-                                         [](const HttpRequest &request, const auto &responder) {
-                                             respondUnknownPath(request, *responder);
-                                         }})
+    , m_operators(
+          settings.m_operators, clientBudgetLimits(settings.m_resources, PortKind::Operators),
+          {m_metrics, m_events, [this] { return !currentRefusal(); }, [this] { updateMetrics(); },
+           [](const HttpRequest &request, const auto &responder) {
+               respondUnknownPath(request, *responder);
+           }})
 {}
 
 std::optional<ErrorKind> AgentProcess::currentRefusal() const
--- a/src/burdockhead/entry/entryprocess.cpp
+++ b/src/burdockhead/entry/entryprocess.cpp
@@ -87,6 +87,7 @@
     , m_callerApi(settings.m_limits, m_dependencies, m_flows, m_membership, systemSeed())
     , m_operatorsApi(m_membership, m_events)
     , m_operatorsPort(settings.m_operators,
+                      clientBudgetLimits(settings.m_resources, PortKind::Operators),
                       {m_metrics, m_events, [this] { return !m_callerApi.currentRefusal(); },
                        [this] { updateMetrics(); },
                        [this](const HttpRequest &request, const auto &responder) {
@@ -111,6 +112,7 @@
     options.m_maxBodyBytes = m_settings.m_limits.m_maxBodyBytes;
     options.m_maxHeaderCount = m_settings.m_limits.m_maxHeaderCount;
     options.m_maxConnections = m_settings.m_limits.m_maxConnections;
+    options.m_budget = clientBudgetLimits(m_settings.m_resources, PortKind::Requests);
     return options;
 }
 
--- a/src/burdockhead/http/httpserver.cpp
+++ b/src/burdockhead/http/httpserver.cpp
@@ -1,89 +1,85 @@
 #include <burdockhead/base/erroranswer.h>
 #include <burdockhead/http/httpserver.h>
+#include <burdockhead/net/httplistener.h>
 
-#include <restinio/all.hpp>
+#include <asio/post.hpp>
+#include <asio/thread_pool.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <vector>
 
 namespace burdockhead {
 
 namespace {
 
-struct ServerTraits : public restinio::default_traits_t
-{
-    // The name is given by RESTinio.
-    static constexpr bool use_connection_count_limiter = true; // NOLINT
-};
+using ExchangePointer = std::shared_ptr<HttpExchange>;
 
-using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
-
-// Shared with write callbacks, which may come after the responder has gone.
+// What a responder knows of its connection, which belongs to the loop's thread.
 struct WriteState
 {
-    std::atomic<bool> m_gone = false;
-    std::atomic<std::size_t> m_unwritten = 0;
+    std::atomic<bool> m_isGone = false;
+    std::atomic<std::size_t> m_posted = 0; // Bytes on the way to the connection.
+    std::atomic<std::size_t> m_queued = 0; // Bytes that wait there.
 };
 
-restinio::http_status_line_t statusLine(int status)
-{
-    return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)},
-            status < 400 ? "OK" : "Error"};
-}
-
-// Answers one RESTinio request.
-class RestinioResponder : public HttpResponder
+// Answers one request. The exchange is used, and goes, on the loop's thread only; a loop that has
+// stopped drops what is posted to it.
+class ExchangeResponder : public HttpResponder
 {
 public:
-    // The owner holds what the request's connection lives on.
-    RestinioResponder(restinio::request_handle_t request, std::shared_ptr<void> owner)
+    // The owner holds the loop.
+    ExchangeResponder(EventLoop &loop, ExchangePointer exchange, std::shared_ptr<WriteState> state,
+                      std::shared_ptr<void> owner)
         : m_owner(std::move(owner))
-        , m_request(std::move(request))
-        , m_state(std::make_shared<WriteState>())
+        , m_loop(loop)
+        , m_exchange(std::move(exchange))
+        , m_state(std::move(state))
     {}
 
-    ~RestinioResponder() override { finishLocked(); }
+    ~ExchangeResponder() override
+    {
+        finishLocked();
+        m_loop.post([exchange = std::move(m_exchange)] {});
+    }
 
     void respond(HttpResponse response) override
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_request)
+        if (m_isOver || m_hasBegun)
             return;
-        auto builder = m_request->create_response(statusLine(response.m_status));
-        for (const HttpHeader &header : response.m_headers)
-            builder.append_header(header.m_name, header.m_value);
-        builder.set_body(std::move(response.m_body));
-        builder.done();
-        m_request.reset();
+        m_isOver = true;
+        post([response = std::move(response)](HttpExchange &exchange) {
+            exchange.answer(response.m_status, response.m_headers, response.m_body);
+        });
     }
 
     void begin(int status, std::vector<HttpHeader> headers) override
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_request || m_builder)
+        if (m_isOver || m_hasBegun)
             return;
-        m_builder.emplace(
-            m_request->create_response<restinio::chunked_output_t>(statusLine(status)));
-        for (const HttpHeader &header : headers)
-            m_builder->append_header(header.m_name, header.m_value);
-        m_builder->flush();
+        m_hasBegun = true;
+        post([status, headers = std::move(headers)](HttpExchange &exchange) {
+            exchange.startAnswer(status, headers);
+        });
     }
 
     bool write(std::string chunk) override
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_builder || m_state->m_gone)
+        if (!m_hasBegun || m_isOver || m_state->m_isGone)
             return false;
         if (chunk.empty())
             return true;
-        const std::size_t size = chunk.size();
-        m_state->m_unwritten += size;
-        m_builder->append_chunk(std::move(chunk));
-        m_builder->flush([state = m_state, size](const auto &error) {
-            state->m_unwritten -= size;
-            if (error)
-                state->m_gone = true;
+        m_state->m_posted += chunk.size();
+        post([state = m_state, chunk = std::move(chunk)](HttpExchange &exchange) {
+            exchange.sendPart(chunk);
+            state->m_posted -= chunk.size();
+            state->m_queued = exchange.queuedBytes();
         });
         return true;
     }
@@ -94,91 +90,120 @@
         finishLocked();
     }
 
-    bool gone() const override { return m_state->m_gone; }
+    bool gone() const override { return m_state->m_isGone; }
 
-    std::size_t unwrittenBytes() const override { return m_state->m_unwritten; }
+    std::size_t unwrittenBytes() const override { return m_state->m_posted + m_state->m_queued; }
 
 private:
     void finishLocked()
     {
-        if (m_builder)
-            m_builder->done();
-        m_builder.reset();
-        m_request.reset();
+        if (m_isOver)
+            return;
+        m_isOver = true;
+        // One that was never answered ends with its connection.
+        if (m_hasBegun)
+            post([](HttpExchange &exchange) { exchange.finishAnswer(); });
+        else
+            post([](HttpExchange &exchange) { exchange.breakOff(); });
+    }
+
+    template <typename Action>
+    void post(Action action)
+    {
+        m_loop.post([exchange = m_exchange, action = std::move(action)] { action(*exchange); });
     }
 
     std::shared_ptr<void> m_owner; // Destroyed last.
+    EventLoop &m_loop;
     std::mutex m_mutex;
-    restinio::request_handle_t m_request;
-    std::optional<ChunkedBuilder> m_builder;
+    ExchangePointer m_exchange;
     std::shared_ptr<WriteState> m_state;
+    bool m_hasBegun = false;
+    bool m_isOver = false;
 };
 
-HttpRequest readRequest(const restinio::request_handle_t &handle)
+HttpRequest takeRequest(HttpExchange &exchange)
 {
     HttpRequest request;
-    const auto &head = handle->header();
-    request.m_method = head.method().c_str();
-    request.m_path = std::string(head.path());
-    request.m_query = std::string(head.query());
-    head.for_each_field([&request](const auto &field) {
-        request.m_headers.push_back({field.name(), field.value()});
-    });
-    request.m_body = handle->body();
+    const HttpHead &head = exchange.head();
+    const std::string_view target =
+        std::string_view(head.m_target).substr(0, head.m_target.find('#'));
+    const std::size_t mark = target.find('?');
+    request.m_method = head.m_method;
+    request.m_path = std::string(target.substr(0, mark));
+    if (mark != std::string_view::npos)
+        request.m_query = std::string(target.substr(mark + 1));
+    request.m_headers = head.m_headers;
+    request.m_body = exchange.takeBody();
     return request;
 }
 
-HttpResponse tooLarge()
+// Returns the error of the table that fits a refusal by the listener best.
+ErrorKind refusalKind(int status)
 {
-    const ErrorAnswer &answer = answerFor(ErrorKind::RequestTooLarge);
-    HttpResponse response;
-    response.m_status = answer.m_httpStatus;
-    response.m_headers.push_back({"Content-Type", "application/json"});
-    response.m_body = std::string(R"({"error":{"kind":")") + answer.m_name + R"(","reason":")"
-                      + answer.m_text + R"(","run_state":"not_run"}})";
-    return response;
+    switch (status) {
+    case 413:
+    case 431:
+        return ErrorKind::RequestTooLarge;
+    case 503:
+        return ErrorKind::Overloaded;
+    default:
+        return ErrorKind::MalformedRequest;
+    }
+}
+
+std::string refusalBody(int status)
+{
+    const ErrorAnswer &answer = answerFor(refusalKind(status));
+    return std::string(R"({"error":{"kind":")") + answer.m_name + R"(","reason":")" + answer.m_text
+           + R"(","run_state":"not_run"}})";
 }
 
 } // namespace
 
 struct HttpServer::Private : public std::enable_shared_from_this<Private>
 {
+    void handle(const ExchangePointer &exchange);
+    ClientBudgetLimits budgetLimits() const;
+
     HttpServerOptions m_options;
     HttpHandler m_handler;
-    asio::io_context m_context;
-    std::unique_ptr<restinio::http_server_t<ServerTraits>> m_server;
-    std::vector<std::thread> m_threads;
+    EventLoop m_loop;
+    std::unique_ptr<HttpListener> m_listener;
+    std::thread m_thread; // Runs the loop.
+    std::unique_ptr<asio::thread_pool> m_handlerThreads;
     std::string m_lastError;
-
-    restinio::request_handling_status_t handle(restinio::request_handle_t handle);
-    void configure(restinio::server_settings_t<ServerTraits> &settings);
 };
 
-restinio::request_handling_status_t HttpServer::Private::handle(restinio::request_handle_t handle)
+ClientBudgetLimits HttpServer::Private::budgetLimits() const
 {
-    HttpRequest request = readRequest(handle);
-    auto responder = std::make_shared<RestinioResponder>(std::move(handle), shared_from_this());
-    if (request.m_body.size() > m_options.m_maxBodyBytes
-        || request.m_headers.size() > m_options.m_maxHeaderCount)
-        responder->respond(tooLarge());
-    else
-        m_handler(std::move(request), std::move(responder));
-    return restinio::request_accepted();
+    ClientBudgetLimits limits = m_options.m_budget;
+    limits.m_maxConnections = std::min(limits.m_maxConnections, m_options.m_maxConnections);
+    return limits;
 }
 
-void HttpServer::Private::configure(restinio::server_settings_t<ServerTraits> &settings)
+void HttpServer::Private::handle(const ExchangePointer &exchange)
 {
-    settings.address(m_options.m_listen.m_host)
-        .port(m_options.m_listen.m_port)
-        .read_next_http_message_timelimit(m_options.m_idleLimit)
-        .handle_request_timeout(m_options.m_handleLimit)
-        .write_http_response_timelimit(m_options.m_writeLimit)
-        .max_parallel_connections(m_options.m_maxConnections)
-        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                      .max_body_size(2 * m_options.m_maxBodyBytes)
-                                      .max_field_count(2 * m_options.m_maxHeaderCount))
-        .request_handler(
-            [this](restinio::request_handle_t request) { return handle(std::move(request)); });
+    if (exchange->head().m_headers.size() > m_options.m_maxHeaderCount) {
+        const ErrorAnswer &answer = answerFor(ErrorKind::RequestTooLarge);
+        exchange->answer(answer.m_httpStatus, {{"Content-Type", "application/json"}},
+                         refusalBody(answer.m_httpStatus));
+        return;
+    }
+    auto state = std::make_shared<WriteState>();
+    exchange->onClientGone([state] { state->m_isGone = true; });
+    const auto updateQueued = [state, weak = std::weak_ptr(exchange)] {
+        const auto sent = weak.lock();
+        state->m_queued = sent ? sent->queuedBytes() : 0;
+    };
+    exchange->onSent(updateQueued);
+    exchange->onDrained(updateQueued);
+    auto responder =
+        std::make_shared<ExchangeResponder>(m_loop, exchange, std::move(state), shared_from_this());
+    asio::post(*m_handlerThreads, [this, request = takeRequest(*exchange),
+                                   responder = std::move(responder)]() mutable {
+        m_handler(std::move(request), std::move(responder));
+    });
 }
 
 HttpServer::HttpServer(const HttpServerOptions &options, HttpHandler handler)
@@ -195,29 +220,33 @@
 
 bool HttpServer::start()
 {
-    try {
-        m_d->m_server = std::make_unique<restinio::http_server_t<ServerTraits>>(
-            restinio::external_io_context(m_d->m_context),
-            [this](auto &settings) { m_d->configure(settings); });
-        m_d->m_server->open_sync();
-    } catch (const std::exception &error) {
-        m_d->m_lastError = error.what();
-        m_d->m_server.reset();
+    const HttpServerOptions &options = m_d->m_options;
+    m_d->m_listener = std::make_unique<HttpListener>(
+        m_d->m_loop, [d = m_d.get()](const ExchangePointer &exchange) { d->handle(exchange); },
+        std::make_shared<ClientBudget>(m_d->budgetLimits()));
+    m_d->m_listener->setLimits({options.m_maxHeaderBytes, options.m_maxBodyBytes,
+                                options.m_idleLimit, options.m_idleLimit, options.m_writeLimit,
+                                options.m_handleLimit, options.m_budget.m_maxResponseBytes});
+    m_d->m_listener->setRefusalBody(refusalBody);
+    if (!m_d->m_listener->start(options.m_listen, m_d->m_lastError)) {
+        m_d->m_listener.reset();
         return false;
     }
-    for (unsigned index = 0; index < m_d->m_options.m_threads; ++index)
-        m_d->m_threads.emplace_back([this] { m_d->m_context.run(); });
+    m_d->m_handlerThreads = std::make_unique<asio::thread_pool>(options.m_threads);
+    m_d->m_thread = std::thread([d = m_d.get()] { d->m_loop.run(); });
     return true;
 }
 
 void HttpServer::stop()
 {
-    if (m_d->m_threads.empty())
+    if (!m_d->m_thread.joinable())
         return;
-    m_d->m_context.stop();
-    for (std::thread &thread : m_d->m_threads)
-        thread.join();
-    m_d->m_threads.clear();
+    m_d->m_loop.stop();
+    m_d->m_thread.join();
+    m_d->m_handlerThreads->stop();
+    m_d->m_handlerThreads->join();
+    m_d->m_handlerThreads.reset();
+    m_d->m_listener.reset();
 }
 
 const std::string &HttpServer::lastError() const
--- a/src/burdockhead/http/httpserver.h
+++ b/src/burdockhead/http/httpserver.h
@@ -4,6 +4,7 @@
 #include <burdockhead/base/timepoint.h>
 #include <burdockhead/http/httprequest.h>
 #include <burdockhead/http/httpresponder.h>
+#include <burdockhead/net/clientbudget.h>
 
 #include <functional>
 #include <memory>
@@ -17,17 +18,19 @@
 struct HttpServerOptions
 {
     SocketAddress m_listen;
-    unsigned m_threads = 2;
+    unsigned m_threads = 2; // That run the handler.
     std::size_t m_maxBodyBytes = 1 << 20;
     std::size_t m_maxHeaderCount = 64;
+    std::size_t m_maxHeaderBytes = 65536;
     std::size_t m_maxConnections = 1000;
-    Milliseconds m_idleLimit = std::chrono::minutes(5);   // Between requests on a connection.
+    ClientBudgetLimits m_budget; // Its connections are bounded by the value above too.
+    Milliseconds m_idleLimit = std::chrono::minutes(5);   // Between requests, and for one to come.
     Milliseconds m_handleLimit = std::chrono::hours(1);   // From request to end of the answer.
     Milliseconds m_writeLimit = std::chrono::seconds(30); // For one write to a slow reader.
 };
 
-// An HTTP/1.1 server with its own threads. A body larger than the limit is answered with
-// status 413 up to twice the limit; beyond that the connection is closed.
+// An HTTP/1.1 server with its own threads. What can't be taken is answered with an error of the
+// table, and its connection is closed.
 class HttpServer
 {
 public:
--- a/src/burdockhead/process/operatorsport.cpp
+++ b/src/burdockhead/process/operatorsport.cpp
@@ -29,12 +29,14 @@
                                     Clock::now()));
 }
 
-OperatorsPort::OperatorsPort(const SocketAddress &listen, OperatorsPortDependencies dependencies)
+OperatorsPort::OperatorsPort(const SocketAddress &listen, const ClientBudgetLimits &budget,
+                             OperatorsPortDependencies dependencies)
     : m_dependencies(std::move(dependencies))
 {
     HttpServerOptions options;
     options.m_listen = listen;
     options.m_maxConnections = 100;
+    options.m_budget = budget;
     m_server = std::make_unique<HttpServer>(
         options, [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
             handle(std::move(request), responder);
--- a/src/burdockhead/process/operatorsport.h
+++ b/src/burdockhead/process/operatorsport.h
@@ -27,7 +27,8 @@
 class OperatorsPort
 {
 public:
-    OperatorsPort(const SocketAddress &listen, OperatorsPortDependencies dependencies);
+    OperatorsPort(const SocketAddress &listen, const ClientBudgetLimits &budget,
+                  OperatorsPortDependencies dependencies);
     ~OperatorsPort();
 
     // Starts listening; returns false with an error if the port is in use.
--- a/src/burdockhead/process/runprocess.h
+++ b/src/burdockhead/process/runprocess.h
@@ -2,6 +2,7 @@
 
 #include <burdockhead/base/failure.h>
 #include <burdockhead/observe/log.h>
+#include <burdockhead/process/resourcelimits.h>
 #include <burdockhead/process/stopsignal.h>
 
 namespace burdockhead {
@@ -12,6 +13,7 @@
 int runProcess(const Settings &settings)
 {
     blockStopSignals();
+    returnLargeBlocksAtOnce();
     initializeLog(settings.m_logLevel, settings.m_name.text());
     Process process(settings);
     Failure failure;
--- a/tests/public/processes/test_longanswer.cpp
+++ b/tests/public/processes/test_longanswer.cpp
@@ -8,8 +8,7 @@
 
 BOOST_AUTO_TEST_SUITE(LongAnswer)
 
-// RESTinio's defaults end a request after 10 s, a write after 5 s and a wait for a request
-// after 60 s; this answer is longer than each of them.
+// Longer than the timeouts that HTTP servers have by default, a request's of 10 s for example.
 BOOST_AUTO_TEST_CASE(an_answer_longer_than_every_default_limit_of_the_libraries_arrives_whole)
 {
     constexpr unsigned tokens = 640;
