Bound what peers make an agent's link port hold

What callers saw: an agent that ran out of memory or descriptors ended, or could no longer call its endpoint. Whoever reaches the port could announce frames of 16 MiB, or just connect.

Cause: memory for a frame was taken as its length was announced, on any number of connections, before anybody had said who they are.

Why it works: the first frame on a connection may have 4 KiB and has to come within 5 s. Memory grows with what has come of a frame, within a FrameBudget of the listener; without room, peers that stall in the middle of a frame are disconnected, and the newcomer waits for up to 2 s. At the bound of connections one that has sent no frame goes, else the newcomer isn't taken.

--- a/src/burdockhead/agent/agentprocess.cpp
+++ b/src/burdockhead/agent/agentprocess.cpp
@@ -64,6 +64,12 @@
     return options;
 }
 
+FrameBudgetLimits linkBudgetLimits(const ResourceLimits &resources)
+{
+    const ClientBudgetLimits limits = clientBudgetLimits(resources, PortKind::Requests);
+    return {limits.m_maxRequestBytes, limits.m_maxConnections};
+}
+
 AgentProcess::AgentProcess(const AgentSettings &settings)
     : m_settings(settings)
     , m_incarnation(newIncarnation())
@@ -74,13 +80,14 @@
     , m_core(std::make_shared<AgentCore>(
           settings.m_endpoint, m_incarnation, m_pool, m_client, m_events,
           [this] { return currentRefusal(); }, systemSeed()))
-    , m_listener(m_pool, settings.m_link,
-                 [this](const FrameConnectionPointer &connection) {
-                     const ConfigurationPointer configuration = m_membership.configuration();
-                     m_core->addConnection(connection,
-                                           {m_settings.m_name, m_incarnation,
-                                            configuration ? configuration->m_version : 0});
-                 })
+    , m_listener(
+          m_pool, settings.m_link,
+          [this](const FrameConnectionPointer &connection) {
+              const ConfigurationPointer configuration = m_membership.configuration();
+              m_core->addConnection(connection, {m_settings.m_name, m_incarnation,
+                                                 configuration ? configuration->m_version : 0});
+          },
+          linkBudgetLimits(settings.m_resources))
     , m_operators(
           settings.m_operators, clientBudgetLimits(settings.m_resources, PortKind::Operators),
           {m_metrics, m_events, [this] { return !currentRefusal(); }, [this] { updateMetrics(); },
--- a/src/burdockhead/transport/frameconnection.cpp
+++ b/src/burdockhead/transport/frameconnection.cpp
@@ -2,12 +2,24 @@
 #include <burdockhead/transport/frameconnectionprivate.h>
 #include <burdockhead/transport/workerpool.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace burdockhead {
 
 namespace {
 
 constexpr std::size_t maxFrameBytes = 16 << 20;
 constexpr unsigned bitsPerByte = 8;
+// Whoever connects sends a short frame that names it before any other.
+constexpr std::size_t maxFirstFrameBytes = 4096;
+constexpr Seconds firstFrameTime{5};
+// Memory for a frame grows with what has come of it, from this size on; an empty buffer keeps as
+// much.
+constexpr std::size_t minPartBytes = 65536;
+// How long the beginning of a frame waits for room, and how often it looks.
+constexpr Seconds maxRoomWait{2};
+constexpr Milliseconds roomWaitStep{20};
 
 std::string withLength(const std::string &body)
 {
@@ -32,7 +44,11 @@
     : m_d(std::move(d))
 {}
 
-FrameConnection::~FrameConnection() = default;
+FrameConnection::~FrameConnection()
+{
+    if (m_d->m_budget)
+        m_d->m_budget->remove(this);
+}
 
 void FrameConnection::start(FrameHandler onFrame, ClosedHandler onClosed)
 {
@@ -42,47 +58,108 @@
         self->m_d->m_onClosed = std::move(onClosed);
         asio::error_code ignored;
         self->m_d->m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        if (self->m_d->m_closed)
+        if (self->m_d->m_closed) {
             self->m_d->m_onClosed(self);
-        else
-            self->readLength();
+            return;
+        }
+        if (self->m_d->m_budget)
+            self->expectFirstFrame();
+        self->readLength();
+    });
+}
+
+// Closes a connection on which no frame comes in time.
+void FrameConnection::expectFirstFrame()
+{
+    m_d->m_timer.expires_after(firstFrameTime);
+    m_d->m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_d->m_hasReceivedFrame)
+            self->closeInStrand();
     });
 }
 
+bool FrameConnection::holdBytes(std::size_t bytes)
+{
+    return !m_d->m_budget || m_d->m_budget->hold(this, bytes, Clock::now());
+}
+
 void FrameConnection::readLength()
 {
     asio::async_read(m_d->m_socket, asio::buffer(m_d->m_length),
                      asio::bind_executor(m_d->m_strand, [self = shared_from_this()](
                                                             const asio::error_code &error, auto) {
                          const std::size_t length = lengthOf(self->m_d->m_length);
-                         if (error || self->m_d->m_closed || length > maxFrameBytes)
+                         const bool isFirst = self->m_d->m_budget && !self->m_d->m_hasReceivedFrame;
+                         const std::size_t maxBytes = isFirst ? maxFirstFrameBytes : maxFrameBytes;
+                         if (error || self->m_d->m_closed || length > maxBytes)
                              self->closeInStrand();
                          else
-                             self->readBody(length);
+                             self->readBody(length, Clock::now() + maxRoomWait);
                      }));
 }
 
-void FrameConnection::readBody(std::size_t length)
+void FrameConnection::readBody(std::size_t length, TimePoint roomBy)
 {
-    m_d->m_body.resize(length);
-    asio::async_read(m_d->m_socket, asio::buffer(m_d->m_body),
-                     asio::bind_executor(m_d->m_strand, [self = shared_from_this()](
+    const std::size_t offset = m_d->m_body.size();
+    const std::size_t size = std::min(length, std::max(minPartBytes, 2 * offset));
+    if (!holdBytes(size)) {
+        waitForRoom(length, roomBy);
+        return;
+    }
+    m_d->m_body.resize(size);
+    readPart(length, offset);
+}
+
+// Peers that stall are being disconnected meanwhile.
+void FrameConnection::waitForRoom(std::size_t length, TimePoint roomBy)
+{
+    if (Clock::now() >= roomBy) {
+        closeInStrand();
+        return;
+    }
+    m_d->m_timer.expires_after(roomWaitStep);
+    m_d->m_timer.async_wait(
+        [self = shared_from_this(), length, roomBy](const asio::error_code &error) {
+            if (!error && !self->m_d->m_closed)
+                self->readBody(length, roomBy);
+        });
+}
+
+void FrameConnection::readPart(std::size_t length, std::size_t offset)
+{
+    const std::size_t missing = m_d->m_body.size() - offset;
+    asio::async_read(m_d->m_socket, asio::buffer(m_d->m_body.data() + offset, missing),
+                     asio::bind_executor(m_d->m_strand, [self = shared_from_this(), length](
                                                             const asio::error_code &error, auto) {
                          // What was read before the connection closed is dropped.
-                         if (error || self->m_d->m_closed) {
+                         if (error || self->m_d->m_closed)
                              self->closeInStrand();
-                             return;
-                         }
-                         auto frame = decodeFrame(self->m_d->m_body, Clock::now());
-                         if (!frame) {
-                             self->closeInStrand();
-                             return;
-                         }
-                         self->m_d->m_onFrame(self, std::move(*frame));
-                         self->readLength();
+                         else if (self->m_d->m_body.size() < length)
+                             self->readBody(length, Clock::now() + maxRoomWait);
+                         else
+                             self->onFrameRead();
                      }));
 }
 
+void FrameConnection::onFrameRead()
+{
+    auto frame = decodeFrame(m_d->m_body, Clock::now());
+    if (m_d->m_body.capacity() > minPartBytes)
+        m_d->m_body = std::string();
+    else
+        m_d->m_body.clear();
+    holdBytes(0);
+    if (!frame) {
+        closeInStrand();
+        return;
+    }
+    if (m_d->m_budget && !std::exchange(m_d->m_hasReceivedFrame, true))
+        m_d->m_budget->recordFrame(this);
+    m_d->m_onFrame(shared_from_this(), std::move(*frame));
+    readLength();
+}
+
 void FrameConnection::send(const Frame &frame)
 {
     std::string bytes = withLength(encodeFrame(frame, Clock::now()));
@@ -131,6 +208,9 @@
     m_d->m_closed = true;
     asio::error_code ignored;
     m_d->m_socket.close(ignored);
+    m_d->m_timer.cancel();
+    if (m_d->m_budget)
+        m_d->m_budget->remove(this);
     if (m_d->m_onClosed)
         m_d->m_onClosed(shared_from_this());
     m_d->m_onFrame = nullptr;
--- a/src/burdockhead/transport/frameconnection.h
+++ b/src/burdockhead/transport/frameconnection.h
@@ -41,7 +41,12 @@
 
 private:
     void readLength();
-    void readBody(std::size_t length);
+    void readBody(std::size_t length, TimePoint roomBy);
+    void readPart(std::size_t length, std::size_t offset);
+    void onFrameRead();
+    void waitForRoom(std::size_t length, TimePoint roomBy);
+    void expectFirstFrame();
+    bool holdBytes(std::size_t bytes);
     void writeNext();
     void closeInStrand();
 
--- a/src/burdockhead/transport/framelistener.h
+++ b/src/burdockhead/transport/framelistener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <burdockhead/base/socketaddress.h>
+#include <burdockhead/transport/framebudget.h>
 #include <burdockhead/transport/frameconnection.h>
 
 #include <functional>
@@ -16,7 +17,8 @@
 {
 public:
     FrameListener(WorkerPool &pool, SocketAddress listen,
-                  std::function<void(FrameConnectionPointer)> onConnection);
+                  std::function<void(FrameConnectionPointer)> onConnection,
+                  const FrameBudgetLimits &limits = {});
     // Closes the port; accepted connections stay open.
     ~FrameListener();
     FrameListener(const FrameListener &) = delete;
--- a/tests/public/crowds/test_entrycrowds.cpp
+++ b/tests/public/crowds/test_entrycrowds.cpp
@@ -1,6 +1,7 @@
 #include "crowdchecks.h"
 #include "deployment.h"
 #include <burdockhead/net/httpwriting.h>
+#include <burdockhead/transport/frame.h>
 
 using namespace burdockhead;
 using namespace burdockhead::test;
@@ -125,6 +126,16 @@
     play(agent, process(agent).m_main, 16, {length, std::string(pieceBytes, 'x'), 200});
 }
 
+BOOST_AUTO_TEST_CASE(large_frames_that_do_not_end_after_a_sound_one)
+{
+    const std::string hello =
+        encodeFrame(HelloFrame{ProcessName("crowd"), Incarnation{1}, 1}, Clock::now());
+    const std::string helloLength{0, 0, 0, static_cast<char>(hello.size())};
+    const std::string length("\x00\xff\xff\xff", 4);
+    play(agent, process(agent).m_main, 16,
+         {helloLength + hello + length, std::string(pieceBytes, 'x'), 200});
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_send_nothing_to_an_agent)
 {
     play(agent, process(agent).m_main, 500, {"", "", 0});
