Bound the peers that greet at the control port

What callers saw: an entry whose control port was held open by strangers had no descriptor left for callers.

Cause: the message library takes connections without bound.

Why it works: at the bound, a connection on which no message has come makes room for the next one; if all have sent some, the newcomer isn't taken.

--- a/src/burdockhead/membership/controltransport.cpp
+++ b/src/burdockhead/membership/controltransport.cpp
@@ -201,6 +201,56 @@
     delete this;
 }
 
+// The connections that peers have made to the listening socket. Called on the library's threads.
+class IncomingPipes
+{
+public:
+    void setMax(std::size_t maxPipes) { m_maxPipes = maxPipes; }
+
+    // Decides on a pipe before it is used.
+    void onAdding(nng_pipe pipe)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_silent.size() + m_known.size() < m_maxPipes)
+            return;
+        if (m_silent.empty()) {
+            nng_pipe_close(pipe);
+            return;
+        }
+        // Ids are given in the order of the connections.
+        const auto oldest = m_silent.begin();
+        nng_pipe_close(nng_pipe{static_cast<std::uint32_t>(*oldest)});
+        m_silent.erase(oldest);
+    }
+
+    void onAdded(nng_pipe pipe)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_silent.insert(nng_pipe_id(pipe));
+    }
+
+    void onMessage(nng_pipe pipe)
+    {
+        const std::lock_guard lock(m_mutex);
+        const int id = nng_pipe_id(pipe);
+        if (m_silent.erase(id) > 0)
+            m_known.insert(id);
+    }
+
+    void onRemoved(nng_pipe pipe)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_silent.erase(nng_pipe_id(pipe));
+        m_known.erase(nng_pipe_id(pipe));
+    }
+
+private:
+    std::mutex m_mutex;
+    std::size_t m_maxPipes = 0;
+    std::set<int> m_silent; // No message has come on them.
+    std::set<int> m_known;
+};
+
 // Handles incoming messages one at a time: receives, replies, receives again.
 struct Worker
 {
@@ -209,6 +259,7 @@
     bool m_isSending = false;
     const ControlDispatcher *m_dispatcher = nullptr;
     TrafficCounters *m_traffic = nullptr;
+    IncomingPipes *m_pipes = nullptr;
 
     void onAioCompleted();
     void startReceive();
@@ -243,6 +294,7 @@
     }
     nng_msg *message = nng_aio_get_msg(m_aio);
     const std::string body = bodyText(message);
+    m_pipes->onMessage(nng_msg_get_pipe(message));
     nng_msg_free(message);
     m_traffic->countReceived(body.size());
     const std::string reply = makeReply(body);
@@ -259,6 +311,7 @@
     ControlDispatcher m_dispatcher;
     TrafficCounters m_traffic;
     CallRegistry m_calls;
+    IncomingPipes m_pipes;
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
     bool m_isListening = false;
     std::vector<std::unique_ptr<Worker>> m_workers;
@@ -298,6 +351,7 @@
     auto worker = std::make_unique<Worker>();
     worker->m_dispatcher = &m_dispatcher;
     worker->m_traffic = &m_traffic;
+    worker->m_pipes = &m_pipes;
     const auto onAioCompleted = [](void *context) {
         static_cast<Worker *>(context)->onAioCompleted();
     };
@@ -320,13 +374,27 @@
     close();
 }
 
-bool ControlTransport::listen(const SocketAddress &address, Failure &failure)
+bool ControlTransport::listen(const SocketAddress &address, std::size_t maxConnections,
+                              Failure &failure)
 {
     failure = {ErrorKind::Internal, "can't listen at " + address.toString()};
     if (nng_rep0_open(&m_d->m_socket) != 0)
         return false;
     m_d->m_isListening = true;
     nng_socket_set_size(m_d->m_socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
+    m_d->m_pipes.setMax(maxConnections);
+    const auto notify = [this](nng_pipe_ev event, nng_pipe_cb callback) {
+        (void)nng_pipe_notify(m_d->m_socket, event, callback, &m_d->m_pipes);
+    };
+    notify(NNG_PIPE_EV_ADD_PRE, [](nng_pipe pipe, nng_pipe_ev, void *pipes) {
+        static_cast<IncomingPipes *>(pipes)->onAdding(pipe);
+    });
+    notify(NNG_PIPE_EV_ADD_POST, [](nng_pipe pipe, nng_pipe_ev, void *pipes) {
+        static_cast<IncomingPipes *>(pipes)->onAdded(pipe);
+    });
+    notify(NNG_PIPE_EV_REM_POST, [](nng_pipe pipe, nng_pipe_ev, void *pipes) {
+        static_cast<IncomingPipes *>(pipes)->onRemoved(pipe);
+    });
     for (std::size_t index = 0; index < workerCount; ++index) {
         if (!m_d->addWorker())
             return false;
--- a/src/burdockhead/membership/controltransport.h
+++ b/src/burdockhead/membership/controltransport.h
@@ -5,6 +5,7 @@
 #include <burdockhead/base/timepoint.h>
 #include <burdockhead/membership/membershipcounters.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -30,8 +31,9 @@
     ControlTransport(const ControlTransport &) = delete;
     ControlTransport &operator=(const ControlTransport &) = delete;
 
-    // Opens the port and starts handling incoming messages.
-    bool listen(const SocketAddress &address, Failure &failure);
+    // Opens the port and starts handling incoming messages. With that many connections, each
+    // further one takes the place of one on which no message has come; else it is refused.
+    bool listen(const SocketAddress &address, std::size_t maxConnections, Failure &failure);
 
     // Sends a message. The completion is called exactly once, also when the transport is
     // closed.
--- a/src/burdockhead/membership/membershipoptions.h
+++ b/src/burdockhead/membership/membershipoptions.h
@@ -4,6 +4,7 @@
 #include <burdockhead/platform/objectapi.h>
 #include <burdockhead/routing/replicaannouncement.h>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -16,9 +17,10 @@
     ProcessName m_name;
     VmRole m_role = VmRole::Entry;
     DataCentreName m_dataCentre;
-    SocketAddress m_controlAddress;  // For control messages from peers; must be a fixed port.
-    SocketAddress m_callerAddress;   // For HTTP requests from callers; entries only.
-    SocketAddress m_operatorAddress; // For requests from operators.
+    SocketAddress m_controlAddress; // For control messages from peers; must be a fixed port.
+    std::size_t m_maxControlConnections = 1000; // That peers may have open there.
+    SocketAddress m_callerAddress;              // For HTTP requests from callers; entries only.
+    SocketAddress m_operatorAddress;            // For requests from operators.
     Incarnation m_incarnation;
     std::optional<ReplicaAnnouncement> m_announcement; // Agents only.
     std::shared_ptr<ObjectApi> m_platform; // Agents use it only while they know no entry.
--- a/src/burdockhead/membership/membershipservice.cpp
+++ b/src/burdockhead/membership/membershipservice.cpp
@@ -288,7 +288,8 @@
 
 bool MembershipService::start(Failure &failure)
 {
-    if (!m_d->m_transport.listen(m_d->m_options.m_controlAddress, failure))
+    if (!m_d->m_transport.listen(m_d->m_options.m_controlAddress,
+                                 m_d->m_options.m_maxControlConnections, failure))
         return false;
     {
         const std::lock_guard lock(m_d->m_mutex);
--- a/src/burdockhead/process/processstart.cpp
+++ b/src/burdockhead/process/processstart.cpp
@@ -1,5 +1,6 @@
 #include <burdockhead/platform/httpobjectapi.h>
 #include <burdockhead/process/processstart.h>
+#include <burdockhead/process/resourcelimits.h>
 #include <burdockhead/settings/configurationtext.h>
 
 #include <chrono>
@@ -41,6 +42,8 @@
     options.m_dataCentre = settings.m_dataCentre;
     options.m_controlAddress = settings.m_control;
     options.m_operatorAddress = settings.m_operators;
+    options.m_maxControlConnections =
+        clientBudgetLimits(settings.m_resources, PortKind::Control).m_maxConnections;
     options.m_incarnation = incarnation;
     options.m_platform =
         std::make_shared<HttpObjectApi>(std::vector<std::string>{settings.m_platform.m_text});
--- a/tests/public/crowds/test_entrycrowds.cpp
+++ b/tests/public/crowds/test_entrycrowds.cpp
@@ -115,6 +115,22 @@
     play(entry, process(entry).m_control, 500, {"", "", 0});
 }
 
+// What the message library's peers send first: a request socket's protocol header.
+const std::string controlGreeting("\0SP\0\0\x30\0\0", 8);
+
+BOOST_AUTO_TEST_CASE(connections_that_only_greet_at_the_control_port)
+{
+    play(entry, process(entry).m_control, 500, {controlGreeting, "", 0});
+}
+
+// Lengths of messages are announced in eight bytes, most significant first.
+BOOST_AUTO_TEST_CASE(large_messages_that_do_not_end_at_the_control_port)
+{
+    const std::string length("\0\0\0\0\0\x7f\xff\xff", 8);
+    play(entry, process(entry).m_control, 32,
+         {controlGreeting + length, std::string(pieceBytes, 'x'), 100});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(AgentCrowdTests, EntryCrowds)
