Take a request of the allowed size whatever the budget

What callers would see: where an operator allows bodies that are larger than what memory_mb leaves for requests, each of them would get 503 for ever, though 503 asks to come again.

Cause: the two limits were independent of one another.

Evidence: one_request_of_the_size_that_a_listener_takes_always_finds_room fails without admitRequestsOf. The refusals of HttpServer for want of room tell retry_after_ms now, as the error table says (refusals_by_the_server_have_the_form_of_the_error_table).

Why it works: the budget of a listener has room for at least twice the largest body.

--- a/src/burdockhead/http/httpserver.cpp
+++ b/src/burdockhead/http/httpserver.cpp
@@ -155,8 +155,11 @@
 std::string refusalBody(int status)
 {
     const ErrorAnswer &answer = answerFor(refusalKind(status));
-    return std::string(R"({"error":{"kind":")") + answer.m_name + R"(","reason":")" + answer.m_text
-           + R"(","run_state":"not_run"}})";
+    std::string body = std::string(R"({"error":{"kind":")") + answer.m_name + R"(","reason":")"
+                       + answer.m_text + R"(","run_state":"not_run")";
+    if (answer.m_tellsWhenToComeBack)
+        body += R"(,"retry_after_ms":)" + std::to_string(noRoomRetryDelay.count());
+    return body + "}}";
 }
 
 } // namespace
--- a/src/burdockhead/net/clientbudget.cpp
+++ b/src/burdockhead/net/clientbudget.cpp
@@ -46,6 +46,12 @@
 
 } // namespace
 
+void ClientBudget::admitRequestsOf(std::size_t bytes)
+{
+    // The factor leaves room for the part that is kept free, and for connections.
+    m_limits.m_maxRequestBytes = std::max(m_limits.m_maxRequestBytes, 2 * bytes);
+}
+
 bool ClientBudget::add(BudgetedConnection &connection, TimePoint now)
 {
     if (m_connections.size() >= m_limits.m_maxConnections)
--- a/src/burdockhead/net/clientbudget.h
+++ b/src/burdockhead/net/clientbudget.h
@@ -69,6 +69,9 @@
     ClientBudget(const ClientBudget &) = delete;
     ClientBudget &operator=(const ClientBudget &) = delete;
 
+    // Has room for one request of that many bytes, also if the limits have less.
+    void admitRequestsOf(std::size_t bytes);
+
     // Adds a connection that was just made, at the cost of another one if need be; false if there
     // is no room for it.
     bool add(BudgetedConnection &connection, TimePoint now);
--- a/src/burdockhead/net/httplistener.cpp
+++ b/src/burdockhead/net/httplistener.cpp
@@ -116,6 +116,7 @@
 void HttpListener::setLimits(const HttpServerLimits &limits)
 {
     m_d->m_shared->m_limits = limits;
+    m_d->m_shared->m_budget->admitRequestsOf(limits.m_maxBodyBytes);
 }
 
 void HttpListener::setRefusalBody(std::function<std::string(int status)> refusalBody)
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -12,6 +12,10 @@
 
 namespace burdockhead {
 
+// When a request that found no room may come again: later than others may hold memory without
+// headway.
+constexpr Milliseconds noRoomRetryDelay{1000};
+
 // What clients may send, and how long they may take.
 struct HttpServerLimits
 {
@@ -41,6 +45,7 @@
     // Opens the port; false with the reason when it can't be opened.
     bool start(const SocketAddress &address, std::string &error);
 
+    // The budget gets room for a body of the limit if it has none.
     void setLimits(const HttpServerLimits &limits);
 
     // Sets what makes the bodies, in JSON, of the answers to requests that are refused before they
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -18,9 +18,6 @@
 constexpr int statusTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
 constexpr int statusUnavailable = 503;
-// Seconds after which a request that found no room may come again: longer than others may hold
-// memory without headway.
-constexpr const char *noRoomRetrySeconds = "1";
 // How long a closing connection waits for the client to close too, so that a reset doesn't
 // destroy the last answer; several round trips of a slow link.
 constexpr Milliseconds lingerTime{1000};
@@ -177,7 +174,8 @@
     if (!body.empty())
         headers.push_back({"Content-Type", "application/json"});
     if (status == statusUnavailable)
-        headers.push_back({"Retry-After", noRoomRetrySeconds});
+        headers.push_back(
+            {"Retry-After", std::to_string(std::chrono::ceil<Seconds>(noRoomRetryDelay).count())});
     m_stream->write(responseHead(status, headers) + body);
     lingerAndClose();
 }
--- a/tests/internal/http/test_httproundtrip.cpp
+++ b/tests/internal/http/test_httproundtrip.cpp
@@ -67,6 +67,36 @@
     BOOST_TEST(answer->m_status == 413);
 }
 
+// A body far over the limit is refused by the server itself, in the same form.
+BOOST_AUTO_TEST_CASE(refusals_by_the_server_have_the_form_of_the_error_table)
+{
+    HttpServerOptions options;
+    options.m_listen = freeLoopbackAddress();
+    options.m_maxBodyBytes = 100;
+    options.m_budget.m_maxRequestBytes = 20000;
+    HttpServer server(options, [](const HttpRequest &, const auto &responder) {
+        responder->respond({200, {}, "ok"});
+    });
+    BOOST_REQUIRE(server.start());
+    HttpClient client;
+    Failure failure;
+    const auto tooLarge =
+        client.callAndWait(callTo(options.m_listen, "/", std::string(1000, 'x')), failure);
+    BOOST_REQUIRE(tooLarge.has_value());
+    BOOST_TEST(tooLarge->m_status == 413);
+    BOOST_TEST(tooLarge->m_body.find(R"("run_state":"not_run")") != std::string::npos);
+    HttpClientCall large = callTo(options.m_listen, "/", "");
+    for (int number = 0; number < 60; ++number)
+        large.m_headers.push_back({"X-Header-" + std::to_string(number), std::string(500, 'x')});
+    const auto noRoom = client.callAndWait(std::move(large), failure);
+    BOOST_REQUIRE(noRoom.has_value());
+    BOOST_TEST(noRoom->m_status == 503);
+    BOOST_TEST(noRoom->m_body.find(R"("retry_after_ms":1000)") != std::string::npos);
+    const auto served = client.callAndWait(callTo(options.m_listen, "/", "x"), failure);
+    BOOST_REQUIRE(served.has_value());
+    BOOST_TEST(served->m_status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_responder_may_outlive_its_server)
 {
     std::shared_ptr<HttpResponder> kept;
--- a/tests/internal/net/test_clientbudget.cpp
+++ b/tests/internal/net/test_clientbudget.cpp
@@ -141,6 +141,14 @@
     BOOST_TEST(m_budget.givenUpCount() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(one_request_of_the_size_that_a_listener_takes_always_finds_room)
+{
+    Connection &alone = connect();
+    BOOST_TEST(!m_budget.hold(alone, 2 * maxBytes, start));
+    m_budget.admitRequestsOf(2 * maxBytes);
+    BOOST_TEST(m_budget.hold(alone, 2 * maxBytes, start));
+}
+
 BOOST_AUTO_TEST_CASE(unread_responses_are_bounded_over_all_connections)
 {
     Connection &first = connect();
