Disconnect stalled peers without the budget's lock

What callers would see: an agent that hangs. Found by reading, not seen in a run.

Cause: FrameBudget took hold of a connection that it gives up while its lock is held; if that was the last hold, the connection's destructor waits for the same lock. A frame also made headway only as its memory doubled, so that a large sound one could be taken for stalled.

Evidence: by reading only; the agent's tests of crowds pass before and after.

Why it works: what is given up is closed, and may be destroyed, after the lock is released. Frames are read, and make headway, in parts of 64 KiB.

--- a/src/burdockhead/transport/framebudget.cpp
+++ b/src/burdockhead/transport/framebudget.cpp
@@ -3,6 +3,7 @@
 #include <burdockhead/transport/frameconnection.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockhead {
 
@@ -19,6 +20,16 @@
 } // namespace
 
 bool FrameBudget::add(const std::shared_ptr<FrameConnection> &connection, TimePoint now)
+{
+    Closing closing;
+    const bool isAdded = addLocked(connection, now, closing);
+    for (const auto &peer : closing)
+        peer->close();
+    return isAdded;
+}
+
+bool FrameBudget::addLocked(const std::shared_ptr<FrameConnection> &connection, TimePoint now,
+                            Closing &closing)
 {
     const std::lock_guard lock(m_mutex);
     if (m_peers.size() >= m_limits.m_maxConnections) {
@@ -32,7 +43,7 @@
             });
         if (oldest == m_peers.end() || oldest->second.m_hasSentFrame || oldest->second.m_isClosing)
             return false;
-        close(oldest->second);
+        giveUp(oldest->second, closing);
     }
     m_peers[connection.get()] = {connection, 0, now};
     return true;
@@ -49,6 +60,16 @@
 }
 
 bool FrameBudget::hold(const FrameConnection *connection, std::size_t bytes, TimePoint now)
+{
+    Closing closing;
+    const bool hasRoom = holdLocked(connection, bytes, now, closing);
+    for (const auto &peer : closing)
+        peer->close();
+    return hasRoom;
+}
+
+bool FrameBudget::holdLocked(const FrameConnection *connection, std::size_t bytes, TimePoint now,
+                             Closing &closing)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_peers.find(connection);
@@ -59,7 +80,7 @@
         bytes <= ordinaryBytes ? 0 : m_limits.m_maxBytes / ordinaryShareDivisor;
     if (bytes > peer.m_heldBytes
         && m_heldBytes + (bytes - peer.m_heldBytes) > m_limits.m_maxBytes - share) {
-        closeStalled(connection, now);
+        giveUpStalled(connection, now, closing);
         return false;
     }
     m_heldBytes = m_heldBytes - peer.m_heldBytes + bytes;
@@ -76,22 +97,22 @@
         found->second.m_hasSentFrame = true;
 }
 
-void FrameBudget::closeStalled(const FrameConnection *newcomer, TimePoint now)
+void FrameBudget::giveUpStalled(const FrameConnection *newcomer, TimePoint now, Closing &closing)
 {
     for (auto &[connection, peer] : m_peers) {
         const bool isStalled = peer.m_heldBytes > 0 && now - peer.m_headwayAt >= headwayTime;
         if (connection != newcomer && isStalled && !peer.m_isClosing) {
             logClosed("bytes", now);
-            close(peer);
+            giveUp(peer, closing);
         }
     }
 }
 
-void FrameBudget::close(Peer &peer)
+void FrameBudget::giveUp(Peer &peer, Closing &closing)
 {
     peer.m_isClosing = true;
-    if (const auto connection = peer.m_connection.lock())
-        connection->close();
+    if (auto connection = peer.m_connection.lock())
+        closing.push_back(std::move(connection));
 }
 
 // A line for each would let peers fill the log.
--- a/src/burdockhead/transport/framebudget.h
+++ b/src/burdockhead/transport/framebudget.h
@@ -55,8 +55,15 @@
     };
     using Peers = std::map<const FrameConnection *, Peer>;
 
-    void closeStalled(const FrameConnection *newcomer, TimePoint now);
-    static void close(Peer &peer);
+    // Connections to be closed, and to be destroyed, without the lock.
+    using Closing = std::vector<std::shared_ptr<FrameConnection>>;
+
+    bool addLocked(const std::shared_ptr<FrameConnection> &connection, TimePoint now,
+                   Closing &closing);
+    bool holdLocked(const FrameConnection *connection, std::size_t bytes, TimePoint now,
+                    Closing &closing);
+    void giveUpStalled(const FrameConnection *newcomer, TimePoint now, Closing &closing);
+    static void giveUp(Peer &peer, Closing &closing);
     void logClosed(const char *reason, TimePoint now);
 
     const FrameBudgetLimits m_limits;
--- a/src/burdockhead/transport/frameconnection.cpp
+++ b/src/burdockhead/transport/frameconnection.cpp
@@ -14,9 +14,9 @@
 // Whoever connects sends a short frame that names it before any other.
 constexpr std::size_t maxFirstFrameBytes = 4096;
 constexpr Seconds firstFrameTime{5};
-// Memory for a frame grows with what has come of it, from this size on; an empty buffer keeps as
-// much.
-constexpr std::size_t minPartBytes = 65536;
+// Memory for a frame grows with what has come of it, which is read in parts of this size; an empty
+// buffer keeps as much.
+constexpr std::size_t partBytes = 65536;
 // How long the beginning of a frame waits for room, and how often it looks.
 constexpr Seconds maxRoomWait{2};
 constexpr Milliseconds roomWaitStep{20};
@@ -102,11 +102,15 @@
 void FrameConnection::readBody(std::size_t length, TimePoint roomBy)
 {
     const std::size_t offset = m_d->m_body.size();
-    const std::size_t size = std::min(length, std::max(minPartBytes, 2 * offset));
-    if (!holdBytes(size)) {
+    const std::size_t size = std::min(length, offset + partBytes);
+    std::size_t capacity = m_d->m_body.capacity();
+    if (size > capacity)
+        capacity = std::min(length, std::max(partBytes, 2 * capacity));
+    if (!holdBytes(capacity)) {
         waitForRoom(length, roomBy);
         return;
     }
+    m_d->m_body.reserve(capacity);
     m_d->m_body.resize(size);
     readPart(length, offset);
 }
@@ -145,7 +149,7 @@
 void FrameConnection::onFrameRead()
 {
     auto frame = decodeFrame(m_d->m_body, Clock::now());
-    if (m_d->m_body.capacity() > minPartBytes)
+    if (m_d->m_body.capacity() > partBytes)
         m_d->m_body = std::string();
     else
         m_d->m_body.clear();
