Look for room for an ordinary request at any time

Cause: the pause between searches for room held for both.

Evidence: an_ordinary_request_finds_room_right_after_a_large_one_found_none failed before.

Why it works: the pause only holds for large requests, which come in floods of few bytes each no more often than they can be sent.

--- a/src/burdockhead/net/clientbudget.cpp
+++ b/src/burdockhead/net/clientbudget.cpp
@@ -152,10 +152,11 @@
 void ClientBudget::makeRoom(const BudgetedConnection &newcomer, std::size_t bytes,
                             std::size_t maxBytes, TimePoint now)
 {
-    if (now < m_nextSearchAt)
+    const bool isOrdinary = bytes <= ordinaryBytes;
+    if (!isOrdinary && now < m_nextSearchAt)
         return;
     const std::size_t minLarger =
-        bytes <= ordinaryBytes ? bytes * largerFactor : std::numeric_limits<std::size_t>::max();
+        isOrdinary ? bytes * largerFactor : std::numeric_limits<std::size_t>::max();
     std::vector<BudgetedConnection *> victims;
     for (BudgetedConnection *connection : m_connections) {
         if (connection != &newcomer && connection->m_heldBytes > 0
@@ -173,7 +174,7 @@
         countGivenUp(now);
         connection->giveUpRequest();
     }
-    if (victims.empty())
+    if (!isOrdinary && victims.empty())
         m_nextSearchAt = now + searchInterval;
 }
 
--- a/src/burdockhead/net/clientbudget.h
+++ b/src/burdockhead/net/clientbudget.h
@@ -114,7 +114,7 @@
     std::size_t m_givenUpCount = 0;
     std::size_t m_loggedCount = 0; // Of those given up.
     TimePoint m_nextLogAt;
-    TimePoint m_nextSearchAt; // Not before, as the last search for victims found none.
+    TimePoint m_nextSearchAt; // For a large newcomer: the last search found nobody to give up.
 };
 
 using ClientBudgetPointer = std::shared_ptr<ClientBudget>;
--- a/tests/internal/net/test_clientbudget.cpp
+++ b/tests/internal/net/test_clientbudget.cpp
@@ -98,6 +98,17 @@
     BOOST_TEST(moving.m_hasGivenUpRequest);
 }
 
+// Guards against an ordinary request that is refused since no room was found for a large one.
+BOOST_AUTO_TEST_CASE(an_ordinary_request_finds_room_right_after_a_large_one_found_none)
+{
+    Connection &moving = receive(880 * kilobyte);
+    Connection &small = receive(64 * kilobyte);
+    BOOST_REQUIRE(m_budget.hold(small, 62 * kilobyte, start));
+    BOOST_TEST(!m_budget.hold(connect(), 400 * kilobyte, start));
+    BOOST_TEST(m_budget.hold(connect(), 64 * kilobyte, start));
+    BOOST_TEST(moving.m_hasGivenUpRequest);
+}
+
 BOOST_AUTO_TEST_CASE(what_a_request_in_work_holds_is_free_again_after_its_release)
 {
     Connection &connection = receive(800 * kilobyte);
