--- a/review/crowd3.py
+++ b/review/crowd3.py
@@ -1,4 +1,4 @@
-"""What cases 11 and 13 share: some clients send costly requests at a moderate rate, and the answers
+"""What cases 12 and 15 share: some clients send costly requests at a moderate rate, and the answers
 that ordinary callers of the same gateway get are checked."""
 
 import asyncio
