--- a/review/crowd3.py
+++ b/review/crowd3.py
@@ -7,7 +7,7 @@
 
 import standins3 as s
 
-CLIENTS = 160
+CLIENTS = 240
 INTERVAL_S = 2.0  # Of each of these clients, which has one request open at a time.
 ORDINARY_PER_S = 20
 RUN_S = 20
