--- a/review/11/case.py
+++ b/review/11/case.py
@@ -21,7 +21,7 @@
 EPISODES, EPISODE_S = 30, 2.6
 # The time of day had jumped by 2.4 s, and the map was planned 0.4 s before the agents start.
 VERSION_AHEAD_S = 2.4 - 0.4
-LATE_SHARE, LATE_S = 0.5, (2, 12)
+LATE_SHARE, LATE_S = 0.35, (2, 12)
 # For trials with a part of the trouble only.
 CLOCK = s.TROUBLE and os.environ.get("CLOCK", "1") != "0"
 SLOW, SLOW_GAP_S = 5.0, (0.1, 0.3)
