Draw map versions that stand for one map, whatever the clock says

Cause: a plan's version was the time of day or, while that was behind, one more than the ranks report. A rank that copies a map reports nothing of it, and the coordinator didn't remember its own plans, so a plan that replaced one on its way got its version.

MapVersionSequence draws versions above all that a coordinator has drawn or heard of, with a suffix of its rank and random bits of its process that no other coordinator draws. The time of day only raises them. A group that formed anew with ranks that had had versions ahead of the clock, and that refuse lower ones, got no new map until the clock had passed them; a refused plan now makes the coordinator leave versions out.

RolloutSearch and GroupSimulation gave each plan a version of its own, so they couldn't see this. They now draw versions as coordinators do, under clocks that stand, jump and differ, with plans that are replaced and loads that take time. All states within the bounds hold; with the former source the search finds a split step for one coordinator, for two, and for one that follows another.

--- a/src/burdockhead/rankagent/rankcoordinator.cpp
+++ b/src/burdockhead/rankagent/rankcoordinator.cpp
@@ -1,7 +1,6 @@
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/net/shortcall.h>
 #include <burdockhead/observe/wallclock.h>
-#include <burdockhead/process/processstart.h>
 #include <burdockhead/rankagent/rankagentprocess.h>
 #include <burdockhead/rankagent/rankcoordinator.h>
 #include <burdockhead/rankagent/standbytakeover.h>
@@ -61,8 +60,15 @@
 // meanwhile.
 constexpr Milliseconds planInterval{150};
 
+// A plan is dropped if a rank has refused it and shows nothing of it for this long, and for this
+// many times the load of an expert: ranks also refuse a repeated order while they load.
+constexpr Milliseconds refusedPlanTimeout{2000};
+constexpr double refusedPlanLoads = 4;
+
 constexpr int statusOk = 200;
 constexpr int firstFailureStatus = 400;
+constexpr int statusConflict = 409;
+constexpr std::uint64_t microsecondsPerMillisecond = 1000;
 
 // Slowness factors by rank; an unknown rank counts as healthy.
 std::vector<double> slownessOf(const std::vector<RankSnapshot> &snapshots)
@@ -85,6 +91,7 @@
 RankCoordinator::RankCoordinator(const CoordinatorDependencies &dependencies, Random seed)
     : m_dependencies(dependencies)
     , m_random(seed)
+    , m_versions(m_random())
     , m_relaySelector(dependencies.m_gateways)
 {}
 
@@ -132,6 +139,7 @@
 
 void RankCoordinator::addKnownMap(const ExpertMap &map)
 {
+    m_versions.observe(map.m_version);
     m_knownMaps[map.m_version] = map;
     while (m_knownMaps.size() > maxKnownMaps)
         m_knownMaps.erase(m_knownMaps.begin());
@@ -365,6 +373,28 @@
     m_plan.reset();
 }
 
+// Drops the plan if a rank refuses it for a version that it has had and doesn't report: a group
+// that forms anew uses map 0 again, and its ranks still refuse the versions from before.
+void RankCoordinator::dropRefusedPlan(const std::vector<RankSnapshot> &snapshots)
+{
+    if (!m_plan || !m_plan->m_dropAt || Clock::now() < *m_plan->m_dropAt)
+        return;
+    const std::uint64_t version = m_plan->m_map.m_version;
+    const bool isArmed =
+        std::any_of(snapshots.begin(), snapshots.end(),
+                    [](const RankSnapshot &snapshot) { return snapshot.m_armed.has_value(); });
+    const bool isPrepared =
+        std::all_of(snapshots.begin(), snapshots.end(), [&](const RankSnapshot &snapshot) {
+            return snapshot.m_preparedVersion == version || snapshot.m_mapVersion == version;
+        });
+    if (isArmed || isPrepared)
+        return;
+    m_dependencies.m_log.add("plan_refused",
+                             {{"group", *m_group}, {"version", std::to_string(version)}});
+    m_versions.skipAhead();
+    m_plan.reset();
+}
+
 // Updates the group's latest started step. Returns whether it has changed since the last call.
 bool RankCoordinator::updateLatestStep()
 {
@@ -383,8 +413,10 @@
                                   {"answered", std::to_string(rankSnapshots.size())},
                                   {"asked", std::to_string(m_addresses.size())},
                                   {"missing", missingRanks()}});
+    m_versions.observe(MapRollout::nextVersion(rankSnapshots) - 1);
     if (m_plan && !rankSnapshots.empty() && rankSnapshots.front().m_epoch != m_plan->m_epoch)
         m_plan.reset();
+    dropRefusedPlan(rankSnapshots);
     if (!m_plan && Clock::now() >= m_nextPlanAt)
         makePlan(rankSnapshots, false);
     const auto version = m_plan ? std::optional(m_plan->m_map.m_version) : std::nullopt;
@@ -405,6 +437,7 @@
                                   {"version", std::to_string(*version)},
                                   {"step", std::to_string(rankSnapshots.front().m_step)}});
         m_dependencies.m_metrics.counter("burdockhead_map_changes_total").add();
+        m_versions.onAccepted();
         m_plan.reset();
         m_nextFullRoundAt = {}; // A further change may be worthwhile.
     }
@@ -454,6 +487,8 @@
                                        {"status", std::to_string(status)}});
     if (order.m_type == RankOrderType::Prepare && status >= firstFailureStatus)
         m_mapDistribution.onFailed(order.m_rank);
+    if (order.m_type == RankOrderType::Prepare && status == statusConflict)
+        onPrepareRefused(order.m_version);
     const auto rank = m_ranks.find(order.m_rank);
     const bool isDone = status >= statusOk && status < firstFailureStatus;
     switch (m_orderReplies.onReply(round, order, isDone,
@@ -473,6 +508,16 @@
     }
 }
 
+void RankCoordinator::onPrepareRefused(std::uint64_t version)
+{
+    if (!m_plan || m_plan->m_map.m_version != version || m_plan->m_dropAt || !m_shape)
+        return;
+    const std::chrono::duration<double, std::milli> loadTime(refusedPlanLoads
+                                                             * m_shape->m_loadMilliseconds);
+    m_plan->m_dropAt =
+        Clock::now() + refusedPlanTimeout + std::chrono::duration_cast<Duration>(loadTime);
+}
+
 // Deferred, since the next round destroys the calls.
 void RankCoordinator::scheduleDecision(TimePoint at)
 {
@@ -559,9 +604,8 @@
         return;
     }
     const ExpertMap currentMap = current.value_or(*planned);
-    // Derived from the clock, so that a version is never reused for a different map: an order to
-    // load one may be executed after the process that sent it has restarted.
-    planned->m_version = std::max(MapRollout::nextVersion(snapshots), newIncarnation().m_value);
+    planned->m_version =
+        m_versions.next(m_localRank, wallMilliseconds() * microsecondsPerMillisecond);
     m_plan = Plan{std::move(*planned), snapshots.front().m_epoch};
     addKnownMap(m_plan->m_map);
     m_mapDistribution.reset();
--- a/src/burdockhead/rankagent/rankcoordinator.h
+++ b/src/burdockhead/rankagent/rankcoordinator.h
@@ -11,6 +11,7 @@
 #include <burdockhead/rankagent/mapdistribution.h>
 #include <burdockhead/rankagent/mapplanner.h>
 #include <burdockhead/rankagent/maprollout.h>
+#include <burdockhead/rankagent/mapversionsequence.h>
 #include <burdockhead/rankagent/orderreplies.h>
 #include <burdockhead/rankagent/rankmessages.h>
 #include <burdockhead/rankagent/ranksampler.h>
@@ -78,6 +79,9 @@
     {
         ExpertMap m_map;
         std::uint64_t m_epoch = 0;
+        // When the plan is dropped although no rank reports a higher version; none until a rank
+        // refuses to prepare it.
+        std::optional<TimePoint> m_dropAt = {};
     };
 
     void scheduleRound(Milliseconds pause);
@@ -101,12 +105,14 @@
     void decide();
     MapChangeLimits changeLimits(const std::vector<RankSnapshot> &snapshots) const;
     void dropObsoletePlan();
+    void dropRefusedPlan(const std::vector<RankSnapshot> &snapshots);
     void makePlan(const std::vector<RankSnapshot> &snapshots, bool isForced);
     void send(const std::vector<RankOrder> &orders);
     void send(const RankOrderMessage &message, TimePoint deadline);
     bool sendByRelay(const RankOrderMessage &message);
     bool reportSlowRanks();
     static bool canAwaitReplies(const RolloutDecision &decision);
+    void onPrepareRefused(std::uint64_t version);
     void onOrderReply(std::uint64_t round, const RankOrder &order, int status);
     void confirmHold(std::uint32_t rank);
     void onHoldRead(std::uint32_t rank, TimePoint armAt, const ShortCall &call);
@@ -126,6 +132,7 @@
     std::optional<ExpertDemand> m_demand;
     RankSampler m_rankSampler;
     MapRollout m_rollout;
+    MapVersionSequence m_versions;
     RelaySelector m_relaySelector;
     MapDistribution m_mapDistribution;
     SlownessReporter m_slownessReporter;
--- a/tests/internal/rankagent/groupsimulation.cpp
+++ b/tests/internal/rankagent/groupsimulation.cpp
@@ -21,6 +21,10 @@
 constexpr std::size_t unresponsiveTicks = 12;
 constexpr std::size_t longHoldTicks = 120;
 
+// The version of the first map, which was taken from a clock that is ahead, and that clock.
+constexpr std::uint64_t firstVersion = std::uint64_t(1) << 40;
+constexpr std::uint64_t clockAhead = 2 * firstVersion;
+
 // How far snapshots may lag behind the others of their round.
 constexpr std::size_t maxLagTicks = 10;
 
@@ -47,7 +51,10 @@
     : m_faults(faults)
     , m_random(seed)
     , m_ranks(ranks)
-{}
+{
+    for (Rank &rank : m_ranks)
+        rank.m_map.m_version = rank.m_highestVersion = firstVersion;
+}
 
 double GroupSimulation::chance()
 {
@@ -210,6 +217,30 @@
                       : m_coordinators.front();
 }
 
+GroupSimulation::Coordinator
+GroupSimulation::startCoordinator(const std::function<NextOrders()> &makeCoordinator)
+{
+    Coordinator coordinator;
+    coordinator.m_next = makeCoordinator();
+    coordinator.m_versions = MapVersionSequence(m_random());
+    return coordinator;
+}
+
+// Plans a map if there is no plan, with a version that is drawn as coordinators do. In trials of a
+// fault, the former plan may be dropped first.
+void GroupSimulation::plan(Coordinator &coordinator, const std::vector<RankSnapshot> &snapshots)
+{
+    if (m_faults.m_clockJump > 0 && chance() < m_faults.m_clockJump)
+        coordinator.m_clock = coordinator.m_clock == 0 ? clockAhead : 0;
+    if (m_faults.m_droppedPlan > 0 && chance() < m_faults.m_droppedPlan)
+        coordinator.m_plannedVersion.reset();
+    coordinator.m_versions.observe(MapRollout::nextVersion(snapshots) - 1);
+    if (coordinator.m_plannedVersion)
+        return;
+    coordinator.m_plannedVersion = coordinator.m_versions.next(0, coordinator.m_clock);
+    coordinator.m_contentId = ++m_contentId;
+}
+
 void GroupSimulation::round()
 {
     if (m_faults.m_frozen > 0 && isFrozen()
@@ -227,11 +258,7 @@
         coordinator.m_staleSnapshots = snapshots();
         coordinator.m_staleSnapshotsTick = m_tick;
     }
-    if (!coordinator.m_plannedVersion) {
-        m_lastVersion = std::max(m_lastVersion, MapRollout::nextVersion(current)) + 1;
-        coordinator.m_plannedVersion = m_lastVersion;
-        coordinator.m_contentId = ++m_contentId;
-    }
+    plan(coordinator, current);
     const Milliseconds age = tickTime * static_cast<int>(m_tick - snapshotsTick);
     const RolloutDecision decision = coordinator.m_next(current, coordinator.m_plannedVersion, age);
     if (decision.m_needsPlan || decision.m_isDone) {
@@ -280,11 +307,10 @@
 {
     m_coordinators.resize(m_faults.m_coordinators);
     for (Coordinator &coordinator : m_coordinators)
-        coordinator = {makeCoordinator(), {}, 0, {}, 0, {}, 0, {}, 0, {}};
+        coordinator = startCoordinator(makeCoordinator);
     for (std::size_t index = 0; index < rounds && !m_hasSplit; ++index) {
         if (chance() < m_faults.m_restart)
-            m_coordinators[m_random() % m_coordinators.size()] = {
-                makeCoordinator(), {}, 0, {}, 0, {}, 0, {}, 0, {}};
+            m_coordinators[m_random() % m_coordinators.size()] = startCoordinator(makeCoordinator);
         round();
         for (std::size_t ticks = 0; ticks < ticksPerRound; ++ticks)
             tick();
--- a/tests/internal/rankagent/groupsimulation.h
+++ b/tests/internal/rankagent/groupsimulation.h
@@ -2,6 +2,7 @@
 
 #include <burdockhead/base/random.h>
 #include <burdockhead/rankagent/maprollout.h>
+#include <burdockhead/rankagent/mapversionsequence.h>
 #include <burdockhead/rankagent/orderreplies.h>
 
 #include <cstdint>
@@ -27,7 +28,9 @@
     double m_frozen = 0;
     // Snapshots of single ranks that are up to 250 ms older than the others of their round.
     double m_lagging = 0;
-    double m_lateReply = 0; // Replies that arrive in the coordinator's next round.
+    double m_lateReply = 0;   // Replies that arrive in the coordinator's next round.
+    double m_droppedPlan = 0; // Rounds before which a coordinator drops its plan for another one.
+    double m_clockJump = 0;   // Rounds before which the coordinator's clock jumps, ahead or back.
 };
 
 // Returns the next orders; plannedVersion is the version that the coordinator wants.
@@ -89,6 +92,8 @@
     struct Coordinator
     {
         NextOrders m_next;
+        MapVersionSequence m_versions{0};
+        std::uint64_t m_clock = 0;
         std::optional<std::uint64_t> m_plannedVersion;
         std::uint64_t m_contentId = 0;
         std::vector<RankSnapshot> m_staleSnapshots;
@@ -118,6 +123,8 @@
                     std::vector<RankSnapshot> current, std::size_t snapshotsTick);
     bool isFrozen() const { return m_frozenAtTick <= m_tick && m_tick < m_frozenUntilTick; }
     Coordinator &nextCoordinator();
+    Coordinator startCoordinator(const std::function<NextOrders()> &makeCoordinator);
+    void plan(Coordinator &coordinator, const std::vector<RankSnapshot> &snapshots);
     void round();
 
     GroupFaults m_faults;
@@ -135,7 +142,6 @@
     std::multimap<std::size_t, PendingOrder> m_lateOrders;
     std::vector<Coordinator> m_coordinators;
     std::uint64_t m_contentId = 0; // Of the last plan; unique for each plan.
-    std::uint64_t m_lastVersion = 0;
     bool m_hasSplit = false;
     std::size_t m_mapChanges = 0;
 };
--- a/tests/internal/rankagent/test_maprollout.cpp
+++ b/tests/internal/rankagent/test_maprollout.cpp
@@ -120,6 +120,7 @@
 const GroupFaults mixedAges = {0, 0, 0, 0, 0, 2, 0, 0.3, 0.2};
 const GroupFaults allFaultsMixedAges = {0.2, 0.3, 0.1, 0.05, 0.3, 3, 0, 0.3, 0.2};
 const GroupFaults freezesAndMixedAges = {0.1, 0.2, 0.05, 0.05, 0.2, 3, 0.5, 0.3, 0.2};
+const GroupFaults replacedPlans = {0.2, 0.3, 0.1, 0.03, 0.3, 3, 0, 0.3, 0.2, 0.3, 0.1};
 
 std::size_t countSplits(const GroupFaults &faults, const std::function<NextOrders()> &make)
 {
@@ -175,6 +176,12 @@
     BOOST_TEST(countSplits(mixedAges, makeAbandoningUnprepared) > 0U);
 }
 
+// A plan that replaced one on its way got its version, while the clock was behind.
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_plans_that_replace_one_another_while_clocks_jump)
+{
+    BOOST_TEST(countSplits(replacedPlans, makeRollout) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(no_step_is_split_when_the_vm_of_the_coordinator_and_rank_0_freezes)
 {
     BOOST_TEST(countSplits(freezes, makeRollout) == 0U);
--- a/tests/internal/rankagent/test_rolloutsearch.cpp
+++ b/tests/internal/rankagent/test_rolloutsearch.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace burdockhead;
 using namespace burdockhead::test;
 
@@ -33,13 +35,24 @@
     return decision;
 }
 
-void requireNoSplit(const SearchBounds &bounds)
+// Faulty source: takes the time of day, or while that is behind, what the ranks report.
+std::uint64_t drawReportedVersion(MapVersionSequence &, const std::vector<RankSnapshot> &snapshots,
+                                  std::uint64_t wallMicroseconds)
 {
-    const SearchResult result = searchRollout(bounds, nextRound);
-    for (const std::string &event : result.m_trace)
-        BOOST_TEST_MESSAGE(event);
-    BOOST_TEST(result.m_trace.empty());
-    BOOST_TEST(result.m_isExhausted, "only " << result.m_states << " states were visited");
+    return std::max(MapRollout::nextVersion(snapshots), wallMicroseconds);
+}
+
+void requireNoSplit(SearchBounds bounds)
+{
+    for (const bool areSeedsAscending : {true, false}) {
+        bounds.m_areSeedsAscending = areSeedsAscending;
+        const SearchResult result = searchRollout(bounds, nextRound);
+        for (const std::string &event : result.m_trace)
+            BOOST_TEST_MESSAGE(event);
+        BOOST_TEST_MESSAGE(result.m_states << " states");
+        BOOST_TEST(result.m_trace.empty());
+        BOOST_TEST(result.m_isExhausted, "only " << result.m_states << " states were visited");
+    }
 }
 
 } // namespace
@@ -97,6 +110,37 @@
     requireNoSplit(bounds);
 }
 
+// The fault that callers saw: a step began with two maps of one version after a clock had jumped
+// back.
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_a_plan_that_replaces_one_on_its_way)
+{
+    SearchBounds bounds;
+    bounds.m_coordinators = 1;
+    bounds.m_plans = 3;
+    bounds.m_droppedPlans = 2;
+    bounds.m_areLoadsSlow = true;
+    bounds.m_lateOrders = 2;
+    requireNoSplit(bounds);
+}
+
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_coordinators_whose_clocks_differ_and_jump)
+{
+    SearchBounds bounds;
+    bounds.m_plans = 2;
+    bounds.m_clockJumps = 1;
+    requireNoSplit(bounds);
+    bounds.m_firstClock = SearchClock::Ahead;
+    requireNoSplit(bounds);
+}
+
+BOOST_AUTO_TEST_CASE(no_step_is_split_by_two_coordinators_whose_ranks_load_for_some_time)
+{
+    SearchBounds bounds;
+    bounds.m_plans = 2;
+    bounds.m_areLoadsSlow = true;
+    requireNoSplit(bounds);
+}
+
 // By hand, some minutes and 6 GB: --run_test=RolloutSearch/wide_bounds
 BOOST_AUTO_TEST_CASE(wide_bounds, *boost::unit_test::disabled())
 {
@@ -141,6 +185,32 @@
     BOOST_TEST(!result.m_trace.empty());
 }
 
+// The fault that callers saw, in one coordinator that replaces its plan, in two, and in one that
+// follows another.
+BOOST_AUTO_TEST_CASE(versions_from_the_time_of_day_and_the_reports_are_found)
+{
+    SearchBounds replaced;
+    replaced.m_coordinators = 1;
+    replaced.m_plans = 2;
+    replaced.m_droppedPlans = 1;
+    replaced.m_lateOrders = 1;
+    replaced.m_areLoadsSlow = true;
+    SearchBounds two;
+    two.m_plans = 2;
+    SearchBounds restarted;
+    restarted.m_coordinators = 1;
+    restarted.m_plans = 2;
+    restarted.m_restarts = 1;
+    restarted.m_lateOrders = 1;
+    restarted.m_areLoadsSlow = true;
+    for (const SearchBounds &bounds : {replaced, two, restarted}) {
+        const SearchResult result = searchRollout(bounds, nextRound, drawReportedVersion);
+        for (const std::string &event : result.m_trace)
+            BOOST_TEST_MESSAGE(event);
+        BOOST_TEST(!result.m_trace.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_hold_that_is_ended_without_rank_0_and_without_a_guard_is_found)
 {
     SearchBounds bounds;
--- a/tests/public/rankagent/test_rankagentprocess.cpp
+++ b/tests/public/rankagent/test_rankagentprocess.cpp
@@ -6,6 +6,7 @@
 #include <burdockhead/gateway/orderrelay.h>
 #include <burdockhead/http/httprequest.h>
 #include <burdockhead/net/shortcall.h>
+#include <burdockhead/observe/wallclock.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -22,6 +23,8 @@
 // More ranks than the coordinator sends a map to itself: agents forward it to the others.
 constexpr std::size_t ranks = 10;
 constexpr std::uint64_t seed = 7;
+// How far the clock was ahead from which the group's versions were taken.
+constexpr std::uint64_t aheadMilliseconds = 60000;
 
 std::vector<std::string> hosts()
 {
@@ -74,8 +77,8 @@
 class GroupFixture
 {
 public:
-    GroupFixture()
-        : m_group(m_loop, hosts(), freeLoopbackAddress().m_port, seed)
+    explicit GroupFixture(const GroupShape &shape = {})
+        : m_group(m_loop, hosts(), freeLoopbackAddress().m_port, seed, shape)
         , m_agentPort(freeLoopbackAddress().m_port)
         , m_directory(std::filesystem::temp_directory_path()
                       / ("rank-agent-test-" + std::to_string(m_agentPort)))
@@ -163,6 +166,44 @@
     BOOST_TEST(!fixture.m_group.hasSplit());
 }
 
+// A plan that replaced one on its way got the version of that one, since the clock was behind the
+// version of the group: a step began with two maps.
+BOOST_AUTO_TEST_CASE(plans_replaced_while_the_clock_is_behind_share_no_version)
+{
+    constexpr Milliseconds slowTime{150};
+    GroupShape shape;
+    shape.m_loadTime = Milliseconds(400);
+    GroupFixture fixture(shape);
+    fixture.m_group.setFirstVersion((wallMilliseconds() + aheadMilliseconds) * 1000);
+    fixture.m_group.setLateOrders(0.35, Seconds(2));
+    fixture.startAgents();
+    Random random(seed);
+    const TimePoint end = Clock::now() + Seconds(9);
+    while (Clock::now() < end) {
+        const std::size_t rank = random() % ranks;
+        fixture.m_group.drawDemand();
+        fixture.m_group.setPace(rank, 5);
+        fixture.waitFor(slowTime, [] { return false; });
+        fixture.m_group.setPace(rank, 1);
+        fixture.waitFor(slowTime, [] { return false; });
+    }
+    BOOST_TEST(!fixture.m_group.hasReusedVersion());
+    BOOST_TEST(!fixture.m_group.hasSplit());
+}
+
+// A group that has formed anew uses map 0, and its ranks refuse what they have had before.
+BOOST_AUTO_TEST_CASE(a_group_that_has_had_versions_ahead_of_the_clock_gets_a_new_map)
+{
+    GroupFixture fixture;
+    fixture.m_group.setHighestVersion((wallMilliseconds() + aheadMilliseconds) * 1000);
+    fixture.startAgents();
+    // Each version that the ranks refuse takes two seconds.
+    for (int wait = 0; wait < 2; ++wait)
+        fixture.waitFor(Seconds(9), [&] { return fixture.m_group.hasNewMap(); });
+    BOOST_TEST(fixture.m_group.hasNewMap());
+    BOOST_TEST(!fixture.m_group.hasSplit());
+}
+
 // Load pattern: engines leave orders unanswered. If the coordinator had to repeat each of them, a
 // change would take longer than the demand stays steady.
 BOOST_AUTO_TEST_CASE(agents_retry_orders_that_their_engine_left_unanswered)
--- a/tests/standins/fleet/groupstandin.cpp
+++ b/tests/standins/fleet/groupstandin.cpp
@@ -112,6 +112,25 @@
     return part > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < part;
 }
 
+void GroupStandIn::setFirstVersion(std::uint64_t version)
+{
+    m_firstVersion = version;
+    for (Rank &rank : m_ranks)
+        rank.m_map.m_version = version;
+    setHighestVersion(version);
+}
+
+void GroupStandIn::setHighestVersion(std::uint64_t version)
+{
+    for (Rank &rank : m_ranks)
+        rank.m_highestVersion = version;
+}
+
+void GroupStandIn::setPace(std::size_t rank, double pace)
+{
+    m_ranks[rank].m_pace = pace;
+}
+
 void GroupStandIn::shiftDemand(std::size_t rank)
 {
     m_choices.clear();
@@ -208,6 +227,8 @@
     if (order.value("expected", rank.m_sequence) != rank.m_sequence)
         return refused;
     if (operation == "prepare") {
+        const std::string map = order.at("map").dump();
+        m_hasReusedVersion |= m_orderedMaps.try_emplace(version, map).first->second != map;
         if (version <= rank.m_highestVersion || rank.m_armed)
             return refused;
         rank.m_highestVersion = version;
@@ -262,10 +283,11 @@
 {
     const Rank &rank = m_ranks[number];
     const Json group = {{"name", "g0"}, {"epoch", 1}, {"rank", number}, {"state", "open"}};
-    Json report = {{"group", group}, {"size", m_ranks.size()},      {"born", 1000 + number},
-                   {"step", m_step}, {"sequence", rank.m_sequence}, {"map", rank.m_map.m_version},
-                   {"pace", 1.0},    {"prepared", nullptr},         {"armed", nullptr},
-                   {"held", nullptr}};
+    Json report = {
+        {"group", group},      {"size", m_ranks.size()},      {"born", 1000 + number},
+        {"step", m_step},      {"sequence", rank.m_sequence}, {"map", rank.m_map.m_version},
+        {"pace", rank.m_pace}, {"prepared", nullptr},         {"armed", nullptr},
+        {"held", nullptr}};
     if (rank.m_prepared)
         report["prepared"] = rank.m_prepared->m_version;
     if (rank.m_armed)
--- a/tests/standins/fleet/groupstandin.h
+++ b/tests/standins/fleet/groupstandin.h
@@ -55,6 +55,15 @@
     // Carries out a part of the orders once more, this much later.
     void setDoubledOrders(double part, Milliseconds delay);
 
+    // Gives the first map this version, as planned by a coordinator whose clock was ahead.
+    void setFirstVersion(std::uint64_t version);
+
+    // Lets ranks have had versions up to this one, which they don't report.
+    void setHighestVersion(std::uint64_t version);
+
+    // Sets how long a rank takes for its work, relative to a healthy one.
+    void setPace(std::size_t rank, double pace);
+
     // Lets requests choose the experts of another rank most.
     void shiftDemand(std::size_t rank);
 
@@ -75,11 +84,14 @@
 
     std::uint64_t step() const { return m_step; }
     bool isHeld() const { return m_held == m_step + 1; }
-    bool hasNewMap() const { return mapVersion() > 0; }
+    bool hasNewMap() const { return mapVersion() > m_firstVersion; }
     std::uint64_t mapVersion() const { return m_ranks.front().m_map.m_version; }
     bool isFrozen() const { return m_frozen.has_value(); }
     bool hasSplit() const { return m_hasSplit; }
 
+    // Whether ranks were ordered to prepare two maps with the same version.
+    bool hasReusedVersion() const { return m_hasReusedVersion; }
+
     Milliseconds stepTime() const { return m_shape.m_stepTime; }
 
 private:
@@ -112,6 +124,7 @@
         std::optional<Map> m_prepared;
         std::optional<Armed> m_armed;
         std::uint64_t m_highestVersion = 0;
+        double m_pace = 1;
         std::vector<std::uint64_t> m_counts;
         std::uint64_t m_sequence = 0;
         std::unique_ptr<HttpListener> m_listener;
@@ -143,6 +156,7 @@
     Random m_random;
     std::vector<Rank> m_ranks;
     std::uint64_t m_step = 1;
+    std::uint64_t m_firstVersion = 0;
     std::optional<std::uint64_t> m_held;
     std::size_t m_holder = 0;
     bool m_dropsPreparations = false;
@@ -158,6 +172,8 @@
     std::optional<std::size_t> m_freezesOnHold;
     std::function<void()> m_onFrozen;
     bool m_hasSplit = false;
+    std::map<std::uint64_t, std::string> m_orderedMaps; // By version.
+    bool m_hasReusedVersion = false;
 };
 
 } // namespace burdockhead::test
