Recognise a repeated request by its content, whatever its head says

Cause: its fingerprint takes in all that the head says of the prompt. 54 `sent` lines of the kept logs have 27 fingerprints, one for each arrival, and each endpoint_crashed names another one. The prompt is in it since, as sound requests had one fingerprint with fatal ones; one identity can't be both narrow and wide enough.

A request now has a second identity, its content: workspace, path and query however they are written, and body. Both are evidence. A content is put in quarantine if requests with different heads went through its crashes, after six crashes if a request with it has ever been answered. If one request explains the crashes that one is, as before. No format of gossip or of the store has changed.

--- a/src/burdockhead/gateway/callguard.cpp
+++ b/src/burdockhead/gateway/callguard.cpp
@@ -14,13 +14,13 @@
 } // namespace
 
 void CallGuard::identify(const GroupName &service, const PromptParts &promptParts,
-                         const PromptPart &fingerprint)
+                         const PromptParts &fingerprints)
 {
     m_service = service;
     m_promptParts = promptParts;
-    m_fingerprint = fingerprint;
+    m_fingerprints = fingerprints;
     m_allParts = promptParts;
-    m_allParts.push_back(fingerprint);
+    m_allParts.insert(m_allParts.end(), fingerprints.begin(), fingerprints.end());
     m_promptGuard.recordArrival(m_service, m_promptParts);
 }
 
@@ -43,13 +43,13 @@
     m_isAtEndpoint = true;
     m_isSound = false;
     m_promptGuard.onSent(m_promptParts, now);
-    m_promptGuard.beginAttempt(m_fingerprint);
+    m_promptGuard.beginAttempt(m_fingerprints);
 }
 
 void CallGuard::endAttempt()
 {
     if (std::exchange(m_isAtEndpoint, false))
-        m_promptGuard.endAttempt(m_fingerprint);
+        m_promptGuard.endAttempt(m_fingerprints);
 }
 
 void CallGuard::recordResponse(TimePoint now)
@@ -67,7 +67,7 @@
     const bool isAnswering = times.eventsSinceSent() >= minSoundEvents
                              && now - times.firstEventSinceSentAt() >= minSoundTime;
     if (isComplete)
-        m_promptGuard.recordSound({m_fingerprint}, now);
+        m_promptGuard.recordSound(m_fingerprints, now);
     if (m_isSound || !(isComplete || isAnswering))
         return;
     m_isSound = true;
@@ -79,7 +79,7 @@
 void CallGuard::recordBroken(TimePoint now)
 {
     m_promptGuard.recordBroken(m_endpoint, m_service, m_isSound ? PromptParts() : m_promptParts,
-                               now, BrokenRequest{m_fingerprint, m_sentAt});
+                               now, BrokenRequest{m_fingerprints, m_sentAt});
 }
 
 void CallGuard::recordUnreachable(TimePoint now)
--- a/src/burdockhead/gateway/callguard.h
+++ b/src/burdockhead/gateway/callguard.h
@@ -17,10 +17,11 @@
     CallGuard(const CallGuard &) = delete;
     CallGuard &operator=(const CallGuard &) = delete;
 
-    // Sets what the request consists of, once its service is known, and records its arrival.
+    // Sets what the request consists of, once its service is known, and records its arrival. The
+    // first of the fingerprints is the request's own.
     void identify(const GroupName &service, const PromptParts &promptParts,
-                  const PromptPart &fingerprint);
-    const PromptPart &fingerprint() const { return m_fingerprint; }
+                  const PromptParts &fingerprints);
+    const PromptParts &fingerprints() const { return m_fingerprints; }
 
     PromptVerdict judge(TimePoint now) const;
 
@@ -32,7 +33,7 @@
     // while the service has another one.
     bool needsSpareEndpoint(TimePoint now) const
     {
-        return m_promptGuard.needsSpareEndpoint(m_fingerprint, now);
+        return m_promptGuard.needsSpareEndpoint(m_fingerprints, now);
     }
 
     // Record that the request is sent to the endpoint, and that it isn't there any more.
@@ -54,7 +55,7 @@
     PromptGuard &m_promptGuard;
     GroupName m_service;
     PromptParts m_promptParts;
-    PromptPart m_fingerprint;
+    PromptParts m_fingerprints;
     PromptParts m_allParts; // The prompt's, and the whole request.
     EndpointRun m_endpoint;
     TimePoint m_sentAt;
--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -154,9 +154,9 @@
     const HttpHead &request = m_exchange->head();
     m_guard.identify(
         m_service, makePromptParts(m_service, m_attributes.m_promptParts),
-        requestFingerprint({m_workspace, request.m_method,
-                            findHeader(request.m_headers, "Host").value_or(""), request.m_target,
-                            m_attributes.m_prompt, m_exchange->body()}));
+        requestFingerprints({m_workspace, request.m_method,
+                             findHeader(request.m_headers, "Host").value_or(""), request.m_target,
+                             m_attributes.m_prompt, m_exchange->body()}));
     m_events = EventSplitter(m_attributes.m_lastEventId);
     if (mayOutlastProcess(m_times.arrivedAt())) {
         refuse(ErrorKind::NotReady, minRetryDelay);
@@ -359,7 +359,8 @@
                                     {"rate", rateText(dependencies.m_rates.rateOf(endpointRun()))},
                                     {"config", std::to_string(m_configurationVersion)},
                                     {"workspace", m_workspace.text()},
-                                    {"fingerprint", m_guard.fingerprint().m_id},
+                                    {"fingerprint", m_guard.fingerprints().front().m_id},
+                                    {"content", m_guard.fingerprints().back().m_id},
                                     {"parts", toText(m_attributes.m_promptParts)},
                                     {"apart", m_isIsolated ? "yes" : "no"},
                                     {"left_ms", toText(remainingTime)},
--- a/src/burdockhead/quarantine/crashdetector.cpp
+++ b/src/burdockhead/quarantine/crashdetector.cpp
@@ -31,14 +31,16 @@
         broken.m_report.m_suspects.insert(part.m_id);
 }
 
-void CrashDetector::recordRequest(const EndpointRun &endpoint, const PromptPart &fingerprint,
+void CrashDetector::recordRequest(const EndpointRun &endpoint, const PromptParts &fingerprints,
                                   TimePoint sentAt)
 {
     const auto found = m_breaks.find(endpoint.m_name);
     if (found == m_breaks.end() || found->second.m_report.m_endpoint != endpoint)
         return;
-    TimePoint &latest = found->second.m_report.m_requests[fingerprint.m_id];
-    latest = std::max(latest, sentAt);
+    for (const PromptPart &fingerprint : fingerprints) {
+        TimePoint &latest = found->second.m_report.m_requests[fingerprint.m_id];
+        latest = std::max(latest, sentAt);
+    }
 }
 
 void CrashDetector::recordAlive(const EndpointName &endpoint, TimePoint now)
--- a/src/burdockhead/quarantine/crashdetector.h
+++ b/src/burdockhead/quarantine/crashdetector.h
@@ -20,8 +20,8 @@
     void recordBroken(const EndpointRun &endpoint, const GroupName &service,
                       const PromptParts &suspects, TimePoint lastProgressAt, TimePoint now);
 
-    // Adds to a broken connection the request on it and when that was sent.
-    void recordRequest(const EndpointRun &endpoint, const PromptPart &fingerprint,
+    // Adds to a broken connection the fingerprints of the request on it and when that was sent.
+    void recordRequest(const EndpointRun &endpoint, const PromptParts &fingerprints,
                        TimePoint sentAt);
 
     // Records a response of the endpoint.
--- a/src/burdockhead/quarantine/crashevidence.cpp
+++ b/src/burdockhead/quarantine/crashevidence.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t maxCrashes = 64;
 constexpr std::size_t maxSuspectsPerCrash = 64;
-constexpr std::size_t maxRequestsPerCrash = 32;
+constexpr std::size_t maxRequestsPerCrash = 64; // Fingerprints, up to two for each.
 // Gateways tell one another times in milliseconds, and a datagram is on its way for some.
 constexpr Milliseconds timeTolerance{5};
 constexpr Milliseconds memoryTime{30 * 60 * 1000};
@@ -169,22 +169,61 @@
     const PromptPart &request, TimePoint after,
     const std::function<bool(const CrashReport &)> &isExplained) const
 {
-    const auto sound = m_lastSoundAt.find(request);
-    const TimePoint begin = std::max(after, sound == m_lastSoundAt.end() ? after : sound->second);
     std::size_t count = 0;
     TimePoint lastCrashedAt;
-    for (const Crash &crash : m_crashes) {
-        const CrashReport &report = crash.m_report;
-        const auto sent = report.m_requests.find(request.m_id);
-        if (sent == report.m_requests.end() || report.m_crashedAt <= begin
-            || (count > 0 && sent->second + timeTolerance < lastCrashedAt) || isExplained(report))
+    for (const CrashReport *crash : crashesOf(request, after)) {
+        const TimePoint sentAt = crash->m_requests.at(request.m_id);
+        if ((count > 0 && sentAt + timeTolerance < lastCrashedAt) || isExplained(*crash))
             continue;
         ++count;
-        lastCrashedAt = report.m_crashedAt;
+        lastCrashedAt = crash->m_crashedAt;
     }
     return count;
 }
 
+bool CrashEvidence::isContentOf(const PromptPart &content, const PromptPart &request) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
+        const auto &requests = crash.m_report.m_requests;
+        const auto contentSent = requests.find(content.m_id);
+        const auto requestSent = requests.find(request.m_id);
+        return contentSent != requests.end() && requestSent != requests.end()
+               && contentSent->second == requestSent->second;
+    });
+}
+
+std::optional<PromptPart> CrashEvidence::onlyRequestOf(const PromptPart &content,
+                                                       TimePoint after) const
+{
+    const std::vector<const CrashReport *> crashes = crashesOf(content, after);
+    if (crashes.empty())
+        return std::nullopt;
+    for (const auto &[id, sentAt] : crashes.front()->m_requests) {
+        const PromptPart request = requestPart(id);
+        const bool isInEach =
+            std::all_of(crashes.begin(), crashes.end(), [&](const CrashReport *crash) {
+                return crash->m_requests.contains(request.m_id);
+            });
+        if (isInEach && !isContentFingerprint(id) && isContentOf(content, request))
+            return request;
+    }
+    return std::nullopt;
+}
+
+// Returns the crashes with the request since it was last answered and since that time.
+std::vector<const CrashReport *> CrashEvidence::crashesOf(const PromptPart &request,
+                                                          TimePoint after) const
+{
+    const auto sound = m_lastSoundAt.find(request);
+    const TimePoint begin = std::max(after, sound == m_lastSoundAt.end() ? after : sound->second);
+    std::vector<const CrashReport *> crashes;
+    for (const Crash &crash : m_crashes) {
+        if (crash.m_report.m_crashedAt > begin && crash.m_report.m_requests.contains(request.m_id))
+            crashes.push_back(&crash.m_report);
+    }
+    return crashes;
+}
+
 std::optional<TimePoint> CrashEvidence::lastCrashOf(const PromptPart &request) const
 {
     for (auto crash = m_crashes.rbegin(); crash != m_crashes.rend(); ++crash) {
--- a/src/burdockhead/quarantine/crashevidence.h
+++ b/src/burdockhead/quarantine/crashevidence.h
@@ -58,6 +58,14 @@
     successiveCrashesOf(const PromptPart &request, TimePoint after,
                         const std::function<bool(const CrashReport &)> &isExplained) const;
 
+    // Returns whether the content is that of the request: both were sent to an endpoint that
+    // crashed at the same time.
+    bool isContentOf(const PromptPart &content, const PromptPart &request) const;
+
+    // Returns the request that explains all crashes under the content since that was last answered
+    // and since that time, so that nothing tells whether others with the content crash endpoints.
+    std::optional<PromptPart> onlyRequestOf(const PromptPart &content, TimePoint after) const;
+
     // Returns when an endpoint last crashed while the request was at it; none if none has.
     std::optional<TimePoint> lastCrashOf(const PromptPart &request) const;
 
@@ -78,6 +86,7 @@
         std::size_t m_outage = 0; // Index of the first crash of the outage.
     };
 
+    std::vector<const CrashReport *> crashesOf(const PromptPart &request, TimePoint after) const;
     void refresh();
     void makeRoom();
     bool hasSuspect(const CrashReport &crash) const;
--- a/src/burdockhead/quarantine/crashreport.h
+++ b/src/burdockhead/quarantine/crashreport.h
@@ -19,7 +19,8 @@
     TimePoint m_lastProgressAt; // The last event of any stream of the service before the crash.
     // Identifiers of the prompt parts of requests that the endpoint may just have begun to answer.
     std::set<std::string> m_suspects;
-    // Fingerprints of the requests that it had not answered whole, and when each was sent to it.
+    // Fingerprints of the requests that it had not answered whole and of their contents, and when
+    // the latest request with each was sent to it.
     std::map<std::string, TimePoint> m_requests = {};
 
     bool hasSuspects() const { return !m_suspects.empty() || !m_requests.empty(); }
--- a/src/burdockhead/quarantine/promptguard.cpp
+++ b/src/burdockhead/quarantine/promptguard.cpp
@@ -35,6 +35,8 @@
 
 // Crashes one after the other under one request, without a whole answer to it in between.
 constexpr std::size_t crashesOfFatalRequest = 3;
+// The same under a content of which other requests are known to be sound.
+constexpr std::size_t crashesOfSharedContent = 6;
 // How long a service is left an endpoint that a suspect of its last crash doesn't get: crashed ones
 // take some seconds to start.
 constexpr Milliseconds sparingTime{10000};
@@ -74,32 +76,83 @@
     return isResponsibleFor(entry.m_part.m_id);
 }
 
-// Returns the crashes that count against the request since it was last released: those that no
-// other request in quarantine explains.
-std::size_t PromptGuard::crashesOfRequest(const PromptPart &fingerprint) const
+// Returns when the request was last put in quarantine or released.
+TimePoint PromptGuard::lastReleaseOf(const PromptPart &fingerprint) const
 {
     const auto found = m_quarantines.entries().find(fingerprint);
-    const TimePoint after =
-        found == m_quarantines.entries().end() ? TimePoint() : found->second.m_changedAt;
-    return m_evidence.successiveCrashesOf(fingerprint, after, [&](const CrashReport &crash) {
-        return std::any_of(
-            crash.m_requests.begin(), crash.m_requests.end(), [&](const auto &request) {
-                return request.first != fingerprint.m_id
-                       && m_quarantines.findActive(requestPart(request.first)) != nullptr;
-            });
-    });
+    return found == m_quarantines.entries().end() ? TimePoint() : found->second.m_changedAt;
+}
+
+// Returns whether something else in quarantine explains the crash: another request, which for a
+// content is one with another content, or for a content, which many requests may share, a part of
+// their prompts.
+bool PromptGuard::isExplained(const CrashReport &crash, const PromptPart &fingerprint) const
+{
+    const bool isContent = isContentFingerprint(fingerprint.m_id);
+    const bool hasOtherRequest =
+        std::any_of(crash.m_requests.begin(), crash.m_requests.end(), [&](const auto &request) {
+            const PromptPart other = requestPart(request.first);
+            return other != fingerprint && m_quarantines.findActive(other) != nullptr
+                   && !(isContent && m_evidence.isContentOf(fingerprint, other));
+        });
+    return hasOtherRequest
+           || (isContent
+               && std::any_of(crash.m_suspects.begin(), crash.m_suspects.end(),
+                              [&](const std::string &id) {
+                                  return m_quarantines.findActive({crash.m_service, id}) != nullptr;
+                              }));
+}
+
+// Returns the crashes that count against the request since it was last released.
+std::size_t PromptGuard::crashesOfRequest(const PromptPart &fingerprint) const
+{
+    return m_evidence.successiveCrashesOf(
+        fingerprint, lastReleaseOf(fingerprint),
+        [&](const CrashReport &crash) { return isExplained(crash, fingerprint); });
+}
+
+std::size_t PromptGuard::crashesNeeded(const PromptPart &fingerprint) const
+{
+    return isContentFingerprint(fingerprint.m_id) && isKnownAsSound(fingerprint)
+               ? crashesOfSharedContent
+               : crashesOfFatalRequest;
+}
+
+// Returns the one request that went through all crashes of the part, if that is a content.
+std::optional<PromptPart> PromptGuard::onlyRequestOf(const PromptPart &part) const
+{
+    return isContentFingerprint(part.m_id) ? m_evidence.onlyRequestOf(part, lastReleaseOf(part))
+                                           : std::nullopt;
+}
+
+// Returns whether requests with the part are sent with care. Contents that sound requests share are
+// suspects of many crashes by chance, and those of a request in quarantine because of that one.
+bool PromptGuard::isHeldBack(const PromptPart &part) const
+{
+    if (m_quarantines.findActive(part) != nullptr)
+        return true;
+    if (!m_evidence.isSuspect(part))
+        return false;
+    const auto request = onlyRequestOf(part);
+    if (request && m_quarantines.findActive(*request) != nullptr)
+        return false;
+    return crashesNeeded(part) == crashesOfFatalRequest
+           || crashesOfRequest(part) >= crashesOfFatalRequest;
 }
 
 // Returns whether one other gateway alone may send the request, since the next crash would be one
-// too many; or none until it has been decided on.
+// too many; or none until it has been decided on. A content is left to others only if it is more
+// than one request.
 bool PromptGuard::isLeftToOthers(const PromptPart &part, TimePoint now) const
 {
-    if (!isRequestFingerprint(part.m_id))
+    if (!isRequestFingerprint(part.m_id) || onlyRequestOf(part))
         return false;
     const std::size_t crashes = crashesOfRequest(part);
-    if (crashes >= crashesOfFatalRequest)
+    const bool isDue = crashes >= crashesNeeded(part)
+                       && (!isContentFingerprint(part.m_id) || hasCrashedRecently(part, now));
+    if (isDue)
         return m_decideOnRequestsAt != TimePoint::max() || !isResponsibleFor(part.m_id);
-    return crashes + 1 == crashesOfFatalRequest && hasCrashedRecently(part, now)
+    return crashes + 1 >= crashesOfFatalRequest && hasCrashedRecently(part, now)
            && !isResponsibleFor(part.m_id);
 }
 
@@ -119,7 +172,7 @@
         return PromptVerdict::Refuse;
     PromptVerdict verdict = PromptVerdict::Admit;
     for (const PromptPart &part : parts) {
-        if (!m_evidence.isSuspect(part) && m_quarantines.findActive(part) == nullptr)
+        if (!isHeldBack(part))
             continue;
         if (isLeftToOthers(part, now))
             return PromptVerdict::Refuse;
@@ -130,16 +183,26 @@
     return verdict;
 }
 
-void PromptGuard::endAttempt(const PromptPart &fingerprint)
+void PromptGuard::beginAttempt(const PromptParts &fingerprints)
 {
-    const auto found = m_attempts.find(fingerprint);
-    if (found != m_attempts.end() && --found->second == 0)
-        m_attempts.erase(found);
+    for (const PromptPart &fingerprint : fingerprints)
+        ++m_attempts[fingerprint];
 }
 
-bool PromptGuard::needsSpareEndpoint(const PromptPart &fingerprint, TimePoint now) const
+void PromptGuard::endAttempt(const PromptParts &fingerprints)
 {
-    return m_evidence.isSuspect(fingerprint) && hasCrashedRecently(fingerprint, now);
+    for (const PromptPart &fingerprint : fingerprints) {
+        const auto found = m_attempts.find(fingerprint);
+        if (found != m_attempts.end() && --found->second == 0)
+            m_attempts.erase(found);
+    }
+}
+
+bool PromptGuard::needsSpareEndpoint(const PromptParts &fingerprints, TimePoint now) const
+{
+    return std::any_of(fingerprints.begin(), fingerprints.end(), [&](const PromptPart &part) {
+        return isHeldBack(part) && hasCrashedRecently(part, now);
+    });
 }
 
 bool PromptGuard::hasCrashedRecently(const PromptPart &fingerprint, TimePoint now) const
@@ -156,10 +219,17 @@
     }
 }
 
+SoundParts &PromptGuard::soundTableOf(const PromptPart &part)
+{
+    if (!isRequestFingerprint(part.m_id))
+        return m_soundParts;
+    return isContentFingerprint(part.m_id) ? m_soundContents : m_soundRequests;
+}
+
 void PromptGuard::recordSound(const PromptParts &parts, TimePoint now)
 {
     for (const PromptPart &part : parts) {
-        (isRequestFingerprint(part.m_id) ? m_soundRequests : m_soundParts).record(part, now);
+        soundTableOf(part).record(part, now);
         m_hasNews |= m_evidence.recordSound(part, now);
         if (const auto lifted = m_quarantines.lift(part, m_localName, now)) {
             m_events.emplace_back(*lifted);
@@ -177,7 +247,7 @@
         progress == m_lastProgressAt.end() ? TimePoint() : progress->second;
     m_detector.recordBroken(endpoint, service, suspects, lastProgressAt, now);
     if (request)
-        m_detector.recordRequest(endpoint, request->m_fingerprint, request->m_sentAt);
+        m_detector.recordRequest(endpoint, request->m_fingerprints, request->m_sentAt);
 }
 
 void PromptGuard::recordAlive(const EndpointName &endpoint, TimePoint now)
@@ -206,7 +276,7 @@
     }
     for (const auto &[id, sentAt] : report.m_requests) {
         const PromptPart part = requestPart(id);
-        if (const auto soundAt = m_soundRequests.lastAt(part))
+        if (const auto soundAt = soundTableOf(part).lastAt(part))
             m_evidence.recordSound(part, *soundAt);
     }
     if (!report.m_suspects.empty())
@@ -222,12 +292,12 @@
 {
     m_decideOnRequestsAt = TimePoint::max();
     std::optional<PromptPart> culprit;
-    std::size_t mostCrashes = crashesOfFatalRequest - 1;
+    std::size_t mostCrashes = 0;
     for (const PromptPart &part : m_evidence.suspects()) {
         if (!isRequestFingerprint(part.m_id) || m_quarantines.findActive(part) != nullptr)
             continue;
         const std::size_t crashes = crashesOfRequest(part);
-        if (crashes < mostCrashes)
+        if (crashes < std::max(mostCrashes, crashesNeeded(part)) || onlyRequestOf(part).has_value())
             continue;
         culprit = crashes > mostCrashes ? std::optional(part) : std::nullopt;
         mostCrashes = crashes;
--- a/src/burdockhead/quarantine/promptguard.h
+++ b/src/burdockhead/quarantine/promptguard.h
@@ -32,7 +32,7 @@
 // A request that was broken off by an endpoint.
 struct BrokenRequest
 {
-    PromptPart m_fingerprint;
+    PromptParts m_fingerprints;
     TimePoint m_sentAt; // To that endpoint.
 };
 
@@ -50,6 +50,11 @@
 // each endpoint that had not answered it whole, and is put in quarantine when it has gone through a
 // few crashes one after the other, however soon. Only an operator ends that quarantine: whoever
 // repeats the request loses nothing by waiting, and each trial would cost an endpoint.
+//
+// A repeated request may have another head, and so another fingerprint; its content is one more
+// part that stays the same. Contents are put in quarantine if requests with different heads went
+// through the crashes. Sound requests can share a content too, such as an empty body: one that has
+// been answered needs twice as many crashes, and is not held back by the first ones.
 class PromptGuard
 {
 public:
@@ -71,12 +76,12 @@
 
     // Begin and end an attempt of a request at an endpoint. Requests that are suspects run one at a
     // time.
-    void beginAttempt(const PromptPart &fingerprint) { ++m_attempts[fingerprint]; }
-    void endAttempt(const PromptPart &fingerprint);
+    void beginAttempt(const PromptParts &fingerprints);
+    void endAttempt(const PromptParts &fingerprints);
 
     // Returns whether the request is a suspect of a recent crash, and so must not be sent to the
     // last endpoint of a service that is left.
-    bool needsSpareEndpoint(const PromptPart &fingerprint, TimePoint now) const;
+    bool needsSpareEndpoint(const PromptParts &fingerprints, TimePoint now) const;
 
     // Records that an endpoint has answered a request for long enough, or to its end.
     void recordSound(const PromptParts &parts, TimePoint now);
@@ -120,7 +125,13 @@
 private:
     bool isResponsibleFor(const std::string &id) const;
     bool mayProbe(const QuarantineEntry &entry, TimePoint now) const;
+    TimePoint lastReleaseOf(const PromptPart &fingerprint) const;
+    bool isExplained(const CrashReport &crash, const PromptPart &fingerprint) const;
     std::size_t crashesOfRequest(const PromptPart &fingerprint) const;
+    std::size_t crashesNeeded(const PromptPart &fingerprint) const;
+    bool isHeldBack(const PromptPart &part) const;
+    std::optional<PromptPart> onlyRequestOf(const PromptPart &part) const;
+    SoundParts &soundTableOf(const PromptPart &part);
     bool isLeftToOthers(const PromptPart &part, TimePoint now) const;
     bool hasCrashedRecently(const PromptPart &fingerprint, TimePoint now) const;
     void decideOnRequests(TimePoint now);
@@ -139,6 +150,7 @@
     CrashEvidence m_evidence;
     SoundParts m_soundParts;
     SoundParts m_soundRequests;
+    SoundParts m_soundContents;
     std::map<PromptPart, unsigned> m_attempts; // Of requests that are at endpoints.
     RecentPrompts m_recentPrompts;
     QuarantineTable m_quarantines;
--- a/src/burdockhead/quarantine/requestfingerprint.h
+++ b/src/burdockhead/quarantine/requestfingerprint.h
@@ -3,6 +3,7 @@
 #include <burdockhead/base/name.h>
 #include <burdockhead/quarantine/promptpart.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,10 +24,20 @@
 // hashed apart from the rest, so that no workspace can imitate another one's requests.
 PromptPart requestFingerprint(const RequestIdentity &identity);
 
-// Returns the part with that identifier, which requestFingerprint() has given.
+// Returns a part that stands for all requests with the same workspace, path, query and body,
+// however their path is written and whatever their heads say otherwise: what comes again when a
+// client repeats a request. None if the prompt in the head is all that tells the request from
+// others.
+std::optional<PromptPart> contentFingerprint(const RequestIdentity &identity);
+
+// Returns both, the request's own first.
+PromptParts requestFingerprints(const RequestIdentity &identity);
+
+// Returns the part with that identifier, which one of these functions has given.
 PromptPart requestPart(const std::string &id);
 
-// Returns whether the identifier is one of a request; none of a prompt part is.
+// Returns whether the identifier is one of a request, or of its content; none of a prompt part is.
 bool isRequestFingerprint(std::string_view id);
+bool isContentFingerprint(std::string_view id);
 
 } // namespace burdockhead
--- a/tests/internal/quarantine/requestfleet.cpp
+++ b/tests/internal/quarantine/requestfleet.cpp
@@ -25,15 +25,15 @@
 constexpr std::size_t countedCrashes = 3;
 constexpr Milliseconds learningTime{3000};
 
-PromptPart fingerprint(const std::string &target)
+PromptParts fingerprints(const std::string &target)
 {
-    return requestFingerprint({WorkspaceName("w"), "GET", "h.example", target, "", ""});
+    return requestFingerprints({WorkspaceName("w"), "GET", "h.example", target, "", ""});
 }
 
-const PromptPart &fatalFingerprint()
+// A request with the fatal one's content and this prompt.
+RequestIdentity fatalIdentity(std::string_view prompt)
 {
-    static const PromptPart part = fingerprint("/fatal");
-    return part;
+    return {WorkspaceName("w"), "POST", "h.example", "/fatal", prompt, "fatal"};
 }
 
 } // namespace
@@ -64,6 +64,8 @@
             arrive(false);
         if (chance(m_options.m_fatalPerSecond * stepSeconds))
             arrive(true);
+        if (m_options.m_sharedPerSecond > 0 && chance(m_options.m_sharedPerSecond * stepSeconds))
+            arriveShared();
         if (chance(m_options.m_crashesPerSecond * stepSeconds)) {
             const std::size_t first = m_random() % m_endpoints.size();
             const std::size_t count = 1 + m_random() % m_options.m_largestCrash;
@@ -88,13 +90,37 @@
     request.m_isFatal = isFatal;
     const bool isPopular =
         m_random() % resolution < static_cast<std::uint64_t>(m_options.m_popularShare * resolution);
-    request.m_fingerprint = isFatal     ? fatalFingerprint()
-                            : isPopular ? fingerprint("/popular")
-                                        : fingerprint("/" + std::to_string(++m_lastRequest));
+    request.m_fingerprints = isFatal     ? fatalHead()
+                             : isPopular ? fingerprints("/popular")
+                                         : fingerprints("/" + std::to_string(++m_lastRequest));
+    m_soundArrivals += isFatal ? 0 : 1;
+    add(std::move(request));
+}
+
+PromptParts RequestFleet::fatalHead()
+{
+    const std::string prompt =
+        m_options.m_hasNewHeads ? "fatal:" + std::to_string(++m_lastRequest) : "fatal";
+    PromptParts parts = requestFingerprints(fatalIdentity(prompt));
+    m_fatalFingerprints.insert(parts.begin(), parts.end());
+    return parts;
+}
+
+void RequestFleet::arriveShared()
+{
+    Request request;
+    request.m_isShared = true;
+    request.m_fingerprints =
+        requestFingerprints(fatalIdentity("sound:" + std::to_string(++m_lastRequest)));
+    ++m_sharedArrivals;
+    add(std::move(request));
+}
+
+void RequestFleet::add(Request request)
+{
     request.m_gateway = m_random() % m_gateways.size();
     request.m_arrivedAt = m_now;
-    m_soundArrivals += isFatal ? 0 : 1;
-    m_gateways[request.m_gateway].m_waiting.push_back(request);
+    m_gateways[request.m_gateway].m_waiting.push_back(std::move(request));
 }
 
 void RequestFleet::dispatch(std::size_t number)
@@ -103,7 +129,8 @@
     for (auto request = gateway.m_waiting.begin(); request != gateway.m_waiting.end();) {
         const bool isRefused =
             m_options.m_usesGuard
-            && gateway.m_guard->judge({request->m_fingerprint}, m_now) == PromptVerdict::Refuse;
+            && gateway.m_guard->judge(request->m_fingerprints, m_now) == PromptVerdict::Refuse;
+        m_sharedRefused += isRefused && request->m_isShared ? 1 : 0;
         if (isRefused || m_now - request->m_arrivedAt > patience || trySend(gateway, *request))
             request = gateway.m_waiting.erase(request);
         else
@@ -115,13 +142,13 @@
 {
     PromptGuard &guard = *gateway.m_guard;
     const PromptVerdict verdict =
-        m_options.m_usesGuard ? guard.judge({request.m_fingerprint}, m_now) : PromptVerdict::Admit;
+        m_options.m_usesGuard ? guard.judge(request.m_fingerprints, m_now) : PromptVerdict::Admit;
     if (verdict == PromptVerdict::Wait)
         return false;
     const auto known = [&](const Endpoint &endpoint) {
         return !guard.evidence().hasCrashed(endpoint.m_run);
     };
-    if (m_options.m_usesGuard && guard.needsSpareEndpoint(request.m_fingerprint, m_now)
+    if (m_options.m_usesGuard && guard.needsSpareEndpoint(request.m_fingerprints, m_now)
         && std::count_if(m_endpoints.begin(), m_endpoints.end(), known) < 2)
         return false;
     const std::size_t offset = m_random() % m_endpoints.size();
@@ -144,7 +171,7 @@
             + (request.m_isFatal ? fatalRun
                                  : Milliseconds(shortest + m_random() % (longest - shortest + 1)));
         ++request.m_attempts;
-        guard.beginAttempt(request.m_fingerprint);
+        guard.beginAttempt(request.m_fingerprints);
         endpoint.m_running.push_back(request);
         const bool isInTouch =
             m_now > gateway.m_startedAt + learningTime && m_now > gateway.m_cutUntil + learningTime;
@@ -173,9 +200,9 @@
             return;
         }
         PromptGuard &guard = *m_gateways[request->m_gateway].m_guard;
-        guard.endAttempt(request->m_fingerprint);
-        guard.recordSound({request->m_fingerprint}, m_now);
-        ++m_soundServed;
+        guard.endAttempt(request->m_fingerprints);
+        guard.recordSound(request->m_fingerprints, m_now);
+        m_soundServed += request->m_isShared ? 0 : 1;
         request = endpoint.m_running.erase(request);
     }
 }
@@ -193,11 +220,11 @@
     std::set<std::size_t> callers;
     for (const Request &request : broken) {
         PromptGuard &guard = *m_gateways[request.m_gateway].m_guard;
-        guard.endAttempt(request.m_fingerprint);
+        guard.endAttempt(request.m_fingerprints);
         const TimePoint sentAt =
             m_options.m_countsEachCrash ? m_now + Milliseconds(1) : request.m_sentAt;
         guard.recordBroken(endpoint.m_run, service, {}, m_now,
-                           BrokenRequest{request.m_fingerprint, sentAt});
+                           BrokenRequest{request.m_fingerprints, sentAt});
         callers.insert(request.m_gateway);
     }
     for (const std::size_t caller : callers) {
@@ -273,15 +300,20 @@
         for (const auto &[part, entry] : gateway.m_guard->quarantines().entries())
             parts.insert(part);
     }
-    parts.erase(fatalFingerprint());
+    for (const PromptPart &part : m_fatalFingerprints)
+        parts.erase(part);
     return parts.size();
 }
 
 std::size_t RequestFleet::gatewaysThatQuarantine() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_gateways.begin(), m_gateways.end(), [](const Gateway &gateway) {
-            return gateway.m_guard->quarantines().findActive(fatalFingerprint()) != nullptr;
+        std::count_if(m_gateways.begin(), m_gateways.end(), [&](const Gateway &gateway) {
+            return std::any_of(m_fatalFingerprints.begin(), m_fatalFingerprints.end(),
+                               [&](const PromptPart &part) {
+                                   return gateway.m_guard->quarantines().findActive(part)
+                                          != nullptr;
+                               });
         }));
 }
 
--- a/tests/internal/quarantine/requestfleet.h
+++ b/tests/internal/quarantine/requestfleet.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
     std::size_t m_endpoints = 3;
     double m_soundPerSecond = 10;
     double m_fatalPerSecond = 1;
+    // Whether each arrival of the fatal request has a prompt of its own in its head.
+    bool m_hasNewHeads = false;
+    // Sound requests with the path, workspace and body of the fatal one, each with its own prompt.
+    double m_sharedPerSecond = 0;
     // Fraction of the sound requests that are one request which many clients send.
     double m_popularShare = 0.2;
     Milliseconds m_longestRun{500}; // Of a sound request.
@@ -52,6 +57,9 @@
     std::size_t soundArrivals() const { return m_soundArrivals; }
     std::size_t soundServed() const { return m_soundServed; }
 
+    std::size_t sharedArrivals() const { return m_sharedArrivals; }
+    std::size_t sharedRefused() const { return m_sharedRefused; } // As being in quarantine.
+
     // Whether all endpoints were down at some time.
     bool wasServiceDown() const { return m_wasServiceDown; }
 
@@ -62,8 +70,9 @@
 private:
     struct Request
     {
-        PromptPart m_fingerprint;
+        PromptParts m_fingerprints;
         bool m_isFatal = false;
+        bool m_isShared = false; // Sound, with the fatal request's content.
         std::size_t m_gateway = 0;
         unsigned m_attempts = 0;
         TimePoint m_arrivedAt;
@@ -91,6 +100,9 @@
     };
 
     void arrive(bool isFatal);
+    void arriveShared();
+    void add(Request request);
+    PromptParts fatalHead();
     void dispatch(std::size_t number);
     bool trySend(Gateway &gateway, Request &request);
     void advance(Endpoint &endpoint);
@@ -109,8 +121,11 @@
     std::size_t m_lateFatalArrivals = 0;
     std::size_t m_soundArrivals = 0;
     std::size_t m_soundServed = 0;
+    std::size_t m_sharedArrivals = 0;
+    std::size_t m_sharedRefused = 0;
     bool m_wasServiceDown = false;
     std::uint64_t m_lastRequest = 0;
+    std::set<PromptPart> m_fatalFingerprints;
 };
 
 } // namespace burdockhead::test
--- a/tests/internal/quarantine/test_fatalrequests.cpp
+++ b/tests/internal/quarantine/test_fatalrequests.cpp
@@ -33,6 +33,7 @@
     std::uint64_t inTime = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed)
         inTime += isStoppedInTime(options, seed) ? 1 : 0;
+    BOOST_TEST_MESSAGE("in time " << inTime << " of " << seeds);
     BOOST_TEST(inTime * 2 > seeds);
 }
 
@@ -65,6 +66,37 @@
     isStoppedInTime({.m_gateways = 330, .m_endpoints = 12, .m_soundPerSecond = 30}, 1);
 }
 
+// Clients that repeat a request tell its prompt in other parts, of which only the body is the same:
+// it was another request each time, and crashed endpoints without end.
+BOOST_AUTO_TEST_CASE(a_request_with_a_new_head_each_time_is_kept_from_endpoints)
+{
+    checkIsStopped({.m_endpoints = 8, .m_hasNewHeads = true}, 30);
+    checkIsStopped({.m_fatalPerSecond = 2, .m_hasNewHeads = true}, 20);
+    isStoppedInTime(
+        {.m_gateways = 330, .m_endpoints = 12, .m_soundPerSecond = 30, .m_hasNewHeads = true}, 1);
+}
+
+// Sound requests with the content of a fatal one, such as the same body, are told apart by what
+// their heads say.
+BOOST_AUTO_TEST_CASE(sound_requests_with_the_content_of_a_fatal_one_are_served)
+{
+    for (const double shared : {1.0, 10.0, 100.0}) {
+        std::size_t arrivals = 0;
+        std::size_t refused = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            RequestFleet fleet(
+                {.m_endpoints = 8, .m_soundPerSecond = 5, .m_sharedPerSecond = shared}, seed);
+            fleet.run(Seconds(60));
+            arrivals += fleet.sharedArrivals();
+            refused += fleet.sharedRefused();
+            BOOST_TEST(fleet.fatalCrashes() <= aimedCrashes + maxLateArrivals, "seed " << seed);
+            BOOST_TEST(fleet.lateFatalArrivals() <= maxLateArrivals, "seed " << seed);
+        }
+        BOOST_TEST_MESSAGE(shared << " a second: " << refused << " of " << arrivals << " refused");
+        BOOST_TEST(refused * 20 < arrivals);
+    }
+}
+
 // Naive versions.
 BOOST_AUTO_TEST_CASE(without_a_guard_a_request_crashes_endpoints_without_end)
 {
@@ -125,13 +157,14 @@
                             .m_endpoints = 2 + seed % 7,
                             .m_soundPerSecond = seed % 3 == 0 ? 10.0 : 100.0,
                             .m_fatalPerSecond = 0,
+                            .m_sharedPerSecond = seed % 2 == 0 ? 20.0 : 0.0,
                             .m_popularShare = 0.05 * static_cast<double>(seed % 5),
                             .m_longestRun = Milliseconds(seed % 3 == 0 ? 2000 : 100),
                             .m_crashesPerSecond = 0.05 * static_cast<double>(1 + seed % 5),
                             .m_largestCrash = 1 + seed % 3},
                            seed);
         fleet.run(Seconds(100));
-        arrivals += fleet.soundArrivals();
+        arrivals += fleet.soundArrivals() + fleet.sharedArrivals();
         quarantined += fleet.soundQuarantined();
     }
     BOOST_TEST(quarantined == 0U);
--- a/tests/public/gateway/gatewayfixture.cpp
+++ b/tests/public/gateway/gatewayfixture.cpp
@@ -192,10 +192,12 @@
 
 std::unique_ptr<ClientCall> GatewayFixture::callAt(const SocketAddress &gateway,
                                                    const std::string &method,
-                                                   const std::string &path)
+                                                   const std::string &path,
+                                                   HttpHeaders furtherHeaders)
 {
-    return call(gateway, method, path,
-                HttpHeaders{{"X-Deadline-Ms", "3000"}, {"Authorization", "Token key"}});
+    furtherHeaders.push_back({"X-Deadline-Ms", "3000"});
+    furtherHeaders.push_back({"Authorization", "Token key"});
+    return call(gateway, method, path, furtherHeaders);
 }
 
 std::unique_ptr<ClientCall> GatewayFixture::call(const SocketAddress &gateway,
--- a/tests/public/gateway/gatewayfixture.h
+++ b/tests/public/gateway/gatewayfixture.h
@@ -84,7 +84,7 @@
 
     // Sends a request to that gateway.
     std::unique_ptr<ClientCall> callAt(const SocketAddress &gateway, const std::string &method,
-                                       const std::string &path);
+                                       const std::string &path, HttpHeaders furtherHeaders = {});
 
     // Sends a stream whose prompt has these parts, "ID:TOKENS" separated by commas.
     std::unique_ptr<ClientCall> callWithPrompt(const std::string &path, const std::string &parts);
--- a/tests/public/gateway/test_fatalrequest.cpp
+++ b/tests/public/gateway/test_fatalrequest.cpp
@@ -89,7 +89,11 @@
     void sendFatal()
     {
         const SocketAddress &gateway = m_addresses[m_sent.size() % m_addresses.size()];
-        m_sent.push_back(callAt(gateway, m_fatal.m_method, m_fatal.m_target));
+        HttpHeaders headers;
+        if (m_hasNewPrompts)
+            headers.push_back(
+                {"X-Prompt-Prefix", "c:40,own-" + std::to_string(m_sent.size()) + ":9"});
+        m_sent.push_back(callAt(gateway, m_fatal.m_method, m_fatal.m_target, headers));
         waitFor(repeatInterval);
     }
 
@@ -116,6 +120,7 @@
     }
 
     EndpointStandIn::FatalRequest m_fatal;
+    bool m_hasNewPrompts = false; // The last part of the prompt is another one each time.
     std::vector<SocketAddress> m_addresses;
     std::vector<FurtherGateway> m_further;
     std::vector<std::unique_ptr<ClientCall>> m_sent;
@@ -170,6 +175,23 @@
     }
 }
 
+// A repeated request was another one to gateways if the last part of its prompt was new.
+BOOST_AUTO_TEST_CASE(a_request_whose_prompt_is_told_in_other_parts_is_kept_from_endpoints)
+{
+    m_hasNewPrompts = true;
+    crashOn({.m_method = "POST", .m_target = "/stream/fatal", .m_body = "body"});
+    startFleet();
+    repeat();
+    BOOST_TEST(m_lateArrivals <= maxLateArrivals);
+    BOOST_TEST(crashes() >= 1U);
+    BOOST_TEST(crashes() <= maxCrashes);
+    BOOST_TEST(m_sent.back()->status() == 503);
+    const auto sound =
+        callAt(m_addresses.front(), "POST", "/stream/other", {{"X-Prompt-Prefix", "c:40,sound:9"}});
+    waitUntil([&] { return sound->hasEnded(); });
+    BOOST_TEST(sound->status() == 200);
+}
+
 // Nothing but the store remembers it.
 BOOST_AUTO_TEST_CASE(a_quarantine_of_a_request_outlasts_a_crash_of_all_gateways)
 {
