Let a gateway that started with its clock behind be heard by its peers

A gateway whose clock had gone back at its restart by more than it was away was ignored by its peers until its clock had passed its former start, or for ten minutes: their directories didn't name it, and they didn't count its load.

Cause: its incarnation is the time of day at its start, and peers drop records with a lower one than they know.

A gateway that hears an older record of a peer than it knows now sends the known one to that peer, which raises its incarnation above it (incarnation_raised).

Failed before: test_gateway, a_gateway_that_starts_again_while_its_clock_is_behind_is_heard, 12 checks.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -69,6 +69,7 @@
     void handleMetrics(HttpExchange &exchange);
     void handleControl(const std::shared_ptr<HttpExchange> &exchange);
     void handleRankReport(HttpExchange &exchange);
+    void logRaisedIncarnation();
     void updateLoads();
     void updateQuarantines();
     void tellOfQuarantines();
@@ -87,6 +88,7 @@
     HttpClientPool m_storeClient;
     EndpointTable m_endpoints;
     PeerTable m_peers;
+    std::uint64_t m_loggedIncarnation;
     LoadTable m_loads;
     PromptGuard m_promptGuard;
     EndpointProber m_prober;
@@ -115,6 +117,7 @@
     , m_storeClient(m_loop)
     , m_endpoints(Random(systemSeed()))
     , m_peers(initialRecord(), settings.m_seeds, Random(systemSeed()))
+    , m_loggedIncarnation(m_peers.local().m_incarnation)
     , m_loads(settings.m_name, m_peers.local().m_incarnation, Random(systemSeed()))
     , m_promptGuard(settings.m_name)
     , m_prober(m_endpointClient, [this](const EndpointRun &endpoint) { onEndpointGone(endpoint); })
@@ -197,6 +200,7 @@
     m_storeUpdates.refresh(Clock::now());
     m_endpoints.removeExpired(Clock::now());
     m_router.refresh();
+    logRaisedIncarnation();
     updateLoads();
     updateQuarantines();
     updateRates();
@@ -334,6 +338,16 @@
     m_peerLink.broadcast();
 }
 
+void GatewayProcess::logRaisedIncarnation()
+{
+    const std::uint64_t incarnation = m_peers.local().m_incarnation;
+    if (incarnation == m_loggedIncarnation)
+        return;
+    m_log.add("incarnation_raised",
+              {{"from", std::to_string(m_loggedIncarnation)}, {"to", std::to_string(incarnation)}});
+    m_loggedIncarnation = incarnation;
+}
+
 // Publishes this gateway's load, and applies what is known of slow endpoints.
 void GatewayProcess::updateLoads()
 {
--- a/src/burdockhead/gateway/loadtable.h
+++ b/src/burdockhead/gateway/loadtable.h
@@ -30,6 +30,9 @@
 public:
     LoadTable(ProcessName localName, std::uint64_t incarnation, Random seed);
 
+    // Sets the incarnation of this gateway, when it was raised.
+    void setIncarnation(std::uint64_t incarnation) { m_local.m_incarnation = incarnation; }
+
     // Set what the next report of this gateway says.
     void setServices(std::vector<ServiceLoad> services);
     void setSlowEndpoints(std::vector<EndpointSlowness> endpoints);
--- a/src/burdockhead/gateway/peerlink.cpp
+++ b/src/burdockhead/gateway/peerlink.cpp
@@ -183,7 +183,10 @@
 
 void PeerLink::Private::sendHeartbeat()
 {
+    m_loads.setIncarnation(m_table.local().m_incarnation);
     send(m_table.beginHeartbeat(Clock::now()));
+    for (const PeerReminder &reminder : m_table.takeReminders())
+        send(writePeerMessage({reminder.m_record}), {reminder.m_target});
     m_loop.callAt(Clock::now() + heartbeatInterval, [this] { sendHeartbeat(); });
 }
 
--- a/src/burdockhead/gateway/peertable.cpp
+++ b/src/burdockhead/gateway/peertable.cpp
@@ -82,9 +82,14 @@
     };
     const bool wasIsolated = m_peers.empty();
     for (const PeerRecord &record : records) {
-        if (record.m_name == m_local.m_name)
+        if (record.m_name == m_local.m_name) {
+            if (version(record) > version(m_local))
+                raiseIncarnation(record);
             continue;
+        }
         const auto [item, isNew] = m_peers.try_emplace(record.m_name, Peer{record, now});
+        if (!isNew && record.m_incarnation < item->second.m_record.m_incarnation)
+            m_reminders[record.m_name] = {record.m_gossipAddress, item->second.m_record};
         if (isNew || version(record) <= version(item->second.m_record))
             continue;
         item->second = {record, now};
@@ -96,6 +101,21 @@
         onFirstPeer(now);
 }
 
+// The other gateways ignore this one until its incarnation is above that of its former run.
+void PeerTable::raiseIncarnation(const PeerRecord &formerRun)
+{
+    m_local.m_incarnation = formerRun.m_incarnation + 1;
+}
+
+std::vector<PeerReminder> PeerTable::takeReminders()
+{
+    std::vector<PeerReminder> reminders;
+    for (const auto &[name, reminder] : m_reminders)
+        reminders.push_back(reminder);
+    m_reminders.clear();
+    return reminders;
+}
+
 // Others may have divided limits without this gateway until now.
 void PeerTable::onFirstPeer(TimePoint now)
 {
--- a/src/burdockhead/gateway/peertable.h
+++ b/src/burdockhead/gateway/peertable.h
@@ -43,8 +43,21 @@
     friend bool operator==(const GatewayPosition &, const GatewayPosition &) = default;
 };
 
+// A record of a gateway's former run, for the gateway itself.
+struct PeerReminder
+{
+    SocketAddress m_target;
+    PeerRecord m_record;
+
+    friend bool operator==(const PeerReminder &, const PeerReminder &) = default;
+};
+
 // Gossip membership of gateways: each heartbeat goes to a few of them, with a sample of the known
 // records. A gateway whose heartbeat doesn't advance is considered dead.
+//
+// Incarnations come from the time of day, which can go back. A gateway that starts while its clock
+// is behind is taken for an older run than its former one, until another gateway reminds it of that
+// one and it raises its incarnation.
 class PeerTable
 {
 public:
@@ -65,6 +78,9 @@
     // Merges the records that another gateway sent.
     void receive(const std::vector<PeerRecord> &records, TimePoint now);
 
+    // Returns the reminders to send since the last call.
+    std::vector<PeerReminder> takeReminders();
+
     // Returns the gossip addresses of the live peers.
     std::vector<SocketAddress> livePeers(TimePoint now) const;
 
@@ -97,6 +113,7 @@
     };
 
     bool isAlive(const Peer &peer, TimePoint now) const;
+    void raiseIncarnation(const PeerRecord &formerRun);
     bool mayHavePeers() const;
     void onFirstPeer(TimePoint now);
 
@@ -109,6 +126,7 @@
     TimePoint m_countedSince; // When others may have begun to count this gateway.
     TimePoint m_lastOwnHeartbeatAt;
     std::map<ProcessName, Peer> m_peers;
+    std::map<ProcessName, PeerReminder> m_reminders;
 };
 
 } // namespace burdockhead
--- a/tests/internal/gateway/test_loadtable.cpp
+++ b/tests/internal/gateway/test_loadtable.cpp
@@ -144,4 +144,20 @@
         BOOST_TEST(!readLoadMessage(message.substr(0, length)).has_value());
 }
 
+// The other gateways ignore reports of an earlier incarnation for a minute.
+BOOST_AUTO_TEST_CASE(a_gateway_that_has_raised_its_incarnation_is_heard)
+{
+    const TimePoint now{Seconds(100)};
+    LoadTable before(gatewayName(1), 9, Random(1));
+    LoadTable after(gatewayName(1), 3, Random(1));
+    LoadTable peer(gatewayName(2), 1, Random(2));
+    after.setServices({{service, 10}});
+    peer.receive(before.reportsToSend(now), now);
+    peer.receive(after.reportsToSend(now), now);
+    BOOST_TEST(peer.elsewhere(service, now).m_requests == 0U);
+    after.setIncarnation(10);
+    peer.receive(after.reportsToSend(now), now);
+    BOOST_TEST(peer.elsewhere(service, now).m_requests == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/internal/gateway/test_peertable.cpp
+++ b/tests/internal/gateway/test_peertable.cpp
@@ -56,6 +56,16 @@
 
     void stop(std::size_t number) { m_tables[number - 1].reset(); }
 
+    // Starts a gateway again.
+    void restart(std::size_t number, std::uint64_t incarnation)
+    {
+        PeerRecord restarted = record(number);
+        restarted.m_incarnation = incarnation;
+        m_tables[number - 1] = std::make_unique<PeerTable>(
+            restarted, std::vector{record(1).m_gossipAddress, record(2).m_gossipAddress},
+            Random(number));
+    }
+
     // The largest and smallest number of ready gateways known to any live one.
     std::size_t maxReadyCount() const { return readyCount(true); }
     std::size_t minReadyCount() const { return readyCount(false); }
@@ -66,14 +76,19 @@
 private:
     void send(PeerTable &from)
     {
-        for (const SocketAddress &target : from.beginHeartbeat(m_now)) {
-            if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss)
-                continue;
-            for (const auto &table : m_tables) {
-                if (table && table->local().m_gossipAddress == target)
-                    table->receive(*readPeerMessage(writePeerMessage(from.recordsToSend(m_now))),
-                                   m_now);
-            }
+        for (const SocketAddress &target : from.beginHeartbeat(m_now))
+            deliver(from.recordsToSend(m_now), target);
+        for (const PeerReminder &reminder : from.takeReminders())
+            deliver({reminder.m_record}, reminder.m_target);
+    }
+
+    void deliver(const std::vector<PeerRecord> &records, const SocketAddress &target)
+    {
+        if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss)
+            return;
+        for (const auto &table : m_tables) {
+            if (table && table->local().m_gossipAddress == target)
+                table->receive(*readPeerMessage(writePeerMessage(records)), m_now);
         }
     }
 
@@ -192,6 +207,39 @@
     BOOST_TEST(table.shareOfLimit(Seconds(10), now) == 0.5);
 }
 
+// Its peers ignored it for up to ten minutes.
+BOOST_AUTO_TEST_CASE(a_gateway_that_starts_again_while_its_clock_is_behind_is_heard)
+{
+    for (const std::size_t restarted : {1, 2, 7}) {
+        for (const Milliseconds away : {Milliseconds(400), Milliseconds(8000)}) {
+            GossipSimulation fleet(9, 0.05, restarted);
+            fleet.restart(restarted, 2400000); // A clock that is ahead for a while.
+            fleet.run(Seconds(5));
+            BOOST_TEST(fleet.minReadyCount() == 9U);
+            fleet.stop(restarted);
+            fleet.run(away);
+            fleet.restart(restarted, 7);
+            fleet.run(Seconds(5));
+            BOOST_TEST(fleet.minReadyCount() == 9U);
+            BOOST_TEST(fleet.table(restarted).local().m_incarnation > 2400000U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_gateway_is_not_reminded_of_its_own_run)
+{
+    PeerTable table(record(1), {}, Random(1));
+    TimePoint now{};
+    table.beginHeartbeat(now);
+    const PeerRecord own = table.local();
+    table.beginHeartbeat(now);
+    table.receive({own}, now);
+    BOOST_TEST(table.local().m_incarnation == own.m_incarnation);
+    table.receive({record(2)}, now);
+    table.receive({record(2)}, now);
+    BOOST_TEST(table.takeReminders().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_gateway_is_not_listed)
 {
     PeerTable table(record(1), {}, Random(1));
