Send nothing after the head of a response to HEAD

Cause: only one of the three functions that write a response's body left it out for HEAD. All ask hasResponseBody() now.

Failed before: test_net, nothing_follows_the_head_of_a_response_to_head.

--- a/src/burdockhead/net/httpexchange.cpp
+++ b/src/burdockhead/net/httpexchange.cpp
@@ -12,6 +12,12 @@
     , m_charge(std::move(charge))
 {}
 
+// What follows the head of a response to HEAD is the next response on the connection.
+bool HttpExchange::hasResponseBody() const
+{
+    return m_head.m_method != "HEAD";
+}
+
 void HttpExchange::answer(int status, HttpHeaders headers, std::string_view body)
 {
     const auto connection = m_connection.lock();
@@ -22,7 +28,7 @@
     if (connection->willClose())
         headers.push_back({"Connection", "close"});
     std::string text = responseHead(status, headers);
-    if (m_head.m_method != "HEAD")
+    if (hasResponseBody())
         text.append(body);
     connection->write(text);
     m_isOver = true;
@@ -45,7 +51,7 @@
 void HttpExchange::sendPart(std::string_view bytes)
 {
     const auto connection = m_connection.lock();
-    if (connection && !m_isOver && m_hasStarted && !bytes.empty())
+    if (connection && !m_isOver && m_hasStarted && hasResponseBody() && !bytes.empty())
         connection->write(chunk(bytes));
 }
 
@@ -60,7 +66,8 @@
     const auto connection = m_connection.lock();
     if (!connection || m_isOver || !m_hasStarted)
         return;
-    connection->write(chunk({}));
+    if (hasResponseBody())
+        connection->write(chunk({}));
     m_isOver = true;
     m_clientGone = nullptr;
     connection->answerEnded(*this, true);
--- a/src/burdockhead/net/httpexchange.h
+++ b/src/burdockhead/net/httpexchange.h
@@ -59,6 +59,8 @@
 private:
     friend class HttpServerConnection;
 
+    bool hasResponseBody() const;
+
     const std::weak_ptr<HttpServerConnection> m_connection;
     const HttpHead m_head;
     std::string m_body;
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -57,6 +57,28 @@
     BOOST_TEST(m_client.received().find("one") < m_client.received().find("503"));
 }
 
+// The response to the next request came after the last chunk of the one to HEAD.
+BOOST_AUTO_TEST_CASE(nothing_follows_the_head_of_a_response_to_head)
+{
+    m_client.write("HEAD /a HTTP/1.1\r\n\r\nHEAD /b HTTP/1.1\r\n\r\nGET /c HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.m_exchanges[0]->startAnswer(200, {});
+    m_server.m_exchanges[0]->sendPart("part");
+    m_server.m_exchanges[0]->finishAnswer();
+    awaitRequests(2);
+    m_server.m_exchanges[1]->answer(200, {}, "whole");
+    awaitRequests(3);
+    m_server.m_exchanges[2]->answer(503, {}, "last");
+    runUntil(m_loop, [&] { return m_client.received().ends_with("last"); });
+    const std::string &received = m_client.received();
+    constexpr std::string_view blankLine = "\r\n\r\n";
+    std::size_t begin = 0;
+    for (int response = 0; response < 2; ++response) {
+        begin = received.find(blankLine, begin) + blankLine.size();
+        BOOST_TEST(received.substr(begin).starts_with("HTTP/1.1 "));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_client_that_leaves_while_its_request_is_in_work_is_noticed)
 {
     m_client.write("GET /a HTTP/1.1\r\n\r\n");
