Tell a bounded number of a prompt's parts apart

Cause: each part was looked up in the list of those before it, and each entry was kept as a text of its own, 32 bytes for each byte that the client is charged for. What a head names had no bound.

The first 64 parts are told apart, empty ones are left out, and the text isn't kept twice.

Failed before: test_gatewaycrowds, requests_with_many_prompt_parts and requests_that_wait_with_many_empty_prompt_parts.

--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -157,6 +157,7 @@
         requestFingerprints({m_workspace, request.m_method,
                              findHeader(request.m_headers, "Host").value_or(""), request.m_target,
                              m_attributes.m_prompt, m_exchange->body()}));
+    m_attributes.m_prompt = {}; // The head has it for as long as the request is in work.
     m_events = EventSplitter(m_attributes.m_lastEventId);
     if (mayOutlastProcess(m_times.arrivedAt())) {
         refuse(ErrorKind::NotReady, minRetryDelay);
--- a/src/burdockhead/quarantine/promptpart.cpp
+++ b/src/burdockhead/quarantine/promptpart.cpp
@@ -26,6 +26,8 @@
 {
     PromptParts parts;
     for (const std::string &id : ids) {
+        if (parts.size() == maxPromptParts)
+            break;
         PromptPart part{service, boundedId(id)};
         if (std::find(parts.begin(), parts.end(), part) == parts.end())
             parts.push_back(std::move(part));
--- a/src/burdockhead/quarantine/promptpart.h
+++ b/src/burdockhead/quarantine/promptpart.h
@@ -3,6 +3,7 @@
 #include <burdockhead/base/name.h>
 
 #include <compare>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,12 @@
 // How the identifier of a whole request begins.
 constexpr char requestIdPrefix = '=';
 
-// Returns the parts with these identifiers, without duplicates. None can be taken for a request.
+// Parts of one prompt that are told apart. A client chooses how many a request names, and each
+// costs time and memory for as long as the request is in work.
+constexpr std::size_t maxPromptParts = 64;
+
+// Returns the first parts with these identifiers, without duplicates. None can be taken for a
+// request.
 PromptParts makePromptParts(const GroupName &service, const std::vector<std::string> &ids);
 
 } // namespace burdockhead
--- a/tests/platform/test_platformcallprotocol.cpp
+++ b/tests/platform/test_platformcallprotocol.cpp
@@ -1,4 +1,5 @@
 #include <burdockhead/http/httprequest.h>
+#include <burdockhead/quarantine/promptpart.h>
 
 #include <boost/test/unit_test.hpp>
 #include <platform/platformcallprotocol.h>
@@ -154,4 +155,25 @@
     BOOST_TEST(protocol.parseResponse(twice).m_isRateUnreadable);
 }
 
+// A head inside the limits can name thousands.
+BOOST_AUTO_TEST_CASE(a_bounded_number_of_prompt_parts_is_read)
+{
+    HttpHead head = request();
+    std::string many;
+    for (int part = 0; part < 3000; ++part)
+        many += std::to_string(part) + ":1,";
+    for (HttpHeader &header : head.m_headers) {
+        if (header.m_name == "X-Prompt-Prefix")
+            header.m_value = many + "own:1";
+    }
+    const auto parts = protocol.parseRequest(head).m_promptParts;
+    BOOST_TEST(parts.size() == maxPromptParts);
+    BOOST_TEST(parts.front() == "0");
+    for (HttpHeader &header : head.m_headers) {
+        if (header.m_name == "X-Prompt-Prefix")
+            header.m_value = std::string(3000, ',') + "a:1,own:1";
+    }
+    BOOST_TEST((protocol.parseRequest(head).m_promptParts == std::vector<std::string>{"a"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/public/crowds/test_gatewaycrowds.cpp
+++ b/tests/public/crowds/test_gatewaycrowds.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t bodyBytes = 4194304; // In the limits of the configuration.
 constexpr std::size_t headBytes = 16384;   // The same.
 constexpr std::size_t pieceBytes = 65536;
+// Processor time for a request, if a gateway with a quarter of a core is to take 120 a second.
+constexpr Milliseconds maxTimeOfRequests{500};
+constexpr std::size_t requestsInThatTime = 240;
 
 class GatewayCrowds : public GatewayFixture
 {
@@ -33,6 +36,28 @@
         return head;
     }
 
+    // Returns a request inside the limits with these headers.
+    static std::string requestWith(const HttpHeaders &furtherHeaders)
+    {
+        std::string text = openHead("/unsafe/crowd") + "Content-Length: 0\r\n";
+        for (const HttpHeader &header : furtherHeaders)
+            text += header.m_name + ": " + header.m_value + "\r\n";
+        BOOST_REQUIRE(text.size() + 2 <= headBytes);
+        return text + "\r\n";
+    }
+
+    // Lets that many clients send the request, and checks the time that the gateway takes for them.
+    void playInTime(const std::string &request)
+    {
+        start();
+        const auto before = m_gateway->processorTime();
+        play(m_clients, requestsInThatTime, {request, "", 0});
+        const auto after = m_gateway->processorTime();
+        BOOST_REQUIRE((before && after));
+        BOOST_TEST_MESSAGE("processor time " << (*after - *before).count() << " ms");
+        BOOST_TEST((*after - *before < maxTimeOfRequests));
+    }
+
     static std::string chunkedHead()
     {
         return openHead("/unsafe/crowd") + "Transfer-Encoding: chunked\r\n\r\n";
@@ -89,6 +114,25 @@
     play(m_clients, 700, {all, "", 0});
 }
 
+// The gateway was busy for 25 ms with each, and ordinary requests got no response.
+BOOST_AUTO_TEST_CASE(requests_with_many_prompt_parts)
+{
+    std::string parts;
+    for (std::size_t part = 0; part < 2600; ++part)
+        parts += std::to_string(part) + ":1,";
+    parts.resize(15000);
+    playInTime(requestWith({{"X-Prompt-Prefix", parts}}));
+}
+
+// Each entry was kept as a text of its own: 32 bytes for each byte that the client was charged for.
+BOOST_AUTO_TEST_CASE(requests_that_wait_with_many_empty_prompt_parts)
+{
+    start();
+    for (const auto &endpoint : m_app)
+        endpoint->setDelay(Milliseconds(2000));
+    play(m_clients, 1200, {requestWith({{"X-Prompt-Prefix", std::string(15800, ',')}}), "", 0});
+}
+
 BOOST_AUTO_TEST_CASE(requests_sent_ahead_whose_answers_are_not_read)
 {
     start();
--- a/tests/public/processes/childprocess.cpp
+++ b/tests/public/processes/childprocess.cpp
@@ -4,11 +4,13 @@
 #include <sys/resource.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <system_error>
 #include <unistd.h>
 
@@ -109,6 +111,25 @@
     return kilobytes;
 }
 
+std::optional<std::chrono::milliseconds> ChildProcess::processorTime() const
+{
+    constexpr int fieldsBefore = 11; // Of user time, after the program's name in parentheses.
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::string skipped;
+    for (int field = 0; field < fieldsBefore; ++field)
+        fields >> skipped;
+    long user = 0;
+    long system = 0;
+    if (!(fields >> user >> system))
+        return std::nullopt;
+    constexpr long millisecondsPerSecond = 1000;
+    return std::chrono::milliseconds((user + system) * millisecondsPerSecond
+                                     / sysconf(_SC_CLK_TCK));
+}
+
 std::size_t ChildProcess::openDescriptors() const
 {
     std::error_code error;
--- a/tests/public/processes/childprocess.h
+++ b/tests/public/processes/childprocess.h
@@ -2,7 +2,9 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,9 @@
     // Returns the most memory that it has had resident; 0 if that can't be read.
     std::size_t peakMemoryKilobytes() const;
 
+    // Returns the processor time that it has used; none if that can't be read.
+    std::optional<std::chrono::milliseconds> processorTime() const;
+
     // Returns the descriptors that it has open; 0 if they can't be read.
     std::size_t openDescriptors() const;
 
