Look up the names of Connection headers in a sorted list

Cause: isConnectionHeader() went through all these names for each header of the message. ConnectionHeaders sorts them once. It also trims tabs around names, which are whitespace as spaces are.

Failed before: test_gatewaycrowds, requests_with_many_names_of_connection_headers.

--- a/src/burdockhead/gateway/proxiedcall.cpp
+++ b/src/burdockhead/gateway/proxiedcall.cpp
@@ -2,6 +2,7 @@
 #include <burdockhead/gateway/callrouter.h>
 #include <burdockhead/gateway/proxiedcall.h>
 #include <burdockhead/http/httprequest.h>
+#include <burdockhead/net/connectionheaders.h>
 #include <burdockhead/net/httpwriting.h>
 #include <burdockhead/quarantine/requestfingerprint.h>
 
@@ -783,8 +784,9 @@
 HttpHeaders ProxiedCall::clientHeaders(const HttpHead &response) const
 {
     HttpHeaders headers;
+    const ConnectionHeaders connectionHeaders(response.m_headers);
     for (const HttpHeader &header : response.m_headers) {
-        if (!isConnectionHeader(header.m_name, response.m_headers))
+        if (!connectionHeaders.contains(header.m_name))
             headers.push_back(header);
     }
     return headers;
--- a/src/burdockhead/net/httpwriting.cpp
+++ b/src/burdockhead/net/httpwriting.cpp
@@ -32,11 +32,6 @@
     {505, "HTTP Version Not Supported"},
 }};
 
-constexpr std::array<std::string_view, 9> connectionHeaders = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",     "Trailer",
-    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect",
-};
-
 const char *statusText(int status)
 {
     for (const StatusText &item : statusTexts) {
@@ -88,31 +83,6 @@
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
-bool isConnectionHeader(std::string_view name, const HttpHeaders &headers)
-{
-    for (const std::string_view known : connectionHeaders) {
-        if (isSameHeaderName(name, known))
-            return true;
-    }
-    for (const HttpHeader &header : headers) {
-        if (!isSameHeaderName(header.m_name, "Connection"))
-            continue;
-        std::string_view rest = header.m_value;
-        while (!rest.empty()) {
-            const auto comma = rest.find(',');
-            std::string_view token = rest.substr(0, comma);
-            while (!token.empty() && token.front() == ' ')
-                token.remove_prefix(1);
-            while (!token.empty() && token.back() == ' ')
-                token.remove_suffix(1);
-            if (isSameHeaderName(token, name))
-                return true;
-            rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
-        }
-    }
-    return false;
-}
-
 std::optional<unsigned> keepAliveSeconds(const HttpHeaders &headers)
 {
     constexpr std::string_view parameter = "timeout=";
--- a/src/burdockhead/net/httpwriting.h
+++ b/src/burdockhead/net/httpwriting.h
@@ -16,10 +16,6 @@
 // One chunk of a body in the chunked coding; the last one is empty.
 std::string chunk(std::string_view bytes);
 
-// Whether a header concerns one connection only and is never passed on, for the headers that
-// came with it.
-bool isConnectionHeader(std::string_view name, const HttpHeaders &headers);
-
 // Whether two header names are the same; case doesn't count.
 bool isSameHeaderName(std::string_view left, std::string_view right);
 
--- a/tests/public/crowds/test_gatewaycrowds.cpp
+++ b/tests/public/crowds/test_gatewaycrowds.cpp
@@ -124,6 +124,18 @@
     playInTime(requestWith({{"X-Prompt-Prefix", parts}}));
 }
 
+// The same, with 30 ms.
+BOOST_AUTO_TEST_CASE(requests_with_many_names_of_connection_headers)
+{
+    std::string names;
+    for (std::size_t name = 0; name < 3800; ++name)
+        names += "a,";
+    HttpHeaders headers = {{"Connection", names}};
+    for (std::size_t count = 0; count < 1300; ++count)
+        headers.push_back({"x", "y"});
+    playInTime(requestWith(headers));
+}
+
 // Each entry was kept as a text of its own: 32 bytes for each byte that the client was charged for.
 BOOST_AUTO_TEST_CASE(requests_that_wait_with_many_empty_prompt_parts)
 {
