Close a connection a second after its response was sent, not queued

Cause: during a stop a connection closes after its response, and the second in which its client may close began when the response was queued. closeIfIdle() and the end of the process counted it as done from then, too.

The second begins when all has been sent.

Failed before: test_net, a_response_is_sent_whole_before_its_connection_is_closed.

--- a/src/burdockhead/gateway/gatewayprocess.cpp
+++ b/src/burdockhead/gateway/gatewayprocess.cpp
@@ -261,7 +261,8 @@
     const Milliseconds grace = m_settings.m_bounds.m_stopGrace;
     if (now >= m_stopDeadline - grace + grace * acceptFractionNumerator / acceptFractionDenominator)
         m_router.refuseNew();
-    const bool isDone = now >= m_stopDeadline - mayExitBeforeEnd && m_router.openRequests() == 0;
+    const bool isDone = now >= m_stopDeadline - mayExitBeforeEnd && m_router.openRequests() == 0
+                        && !m_clientListener.isSendingResponses();
     if (isDone || now >= m_stopDeadline - exitBeforeEnd) {
         m_router.endAll();
         m_clientListener.stopAccepting();
--- a/src/burdockhead/net/httplistener.cpp
+++ b/src/burdockhead/net/httplistener.cpp
@@ -154,6 +154,12 @@
     return m_d->m_shared->m_openRequests;
 }
 
+bool HttpListener::isSendingResponses() const
+{
+    return std::any_of(m_d->m_connections.begin(), m_d->m_connections.end(),
+                       [](const auto &item) { return item.second->isSending(); });
+}
+
 bool HttpListener::mayOweResponses() const
 {
     return std::any_of(m_d->m_connections.begin(), m_d->m_connections.end(),
--- a/src/burdockhead/net/httplistener.h
+++ b/src/burdockhead/net/httplistener.h
@@ -69,6 +69,9 @@
     // the first one of a connection.
     bool mayOweResponses() const;
 
+    // Whether some of a response still waits for its client to read.
+    bool isSendingResponses() const;
+
 private:
     friend class HttpServerConnection;
     struct Private;
--- a/src/burdockhead/net/httpserverconnection.cpp
+++ b/src/burdockhead/net/httpserverconnection.cpp
@@ -83,7 +83,11 @@
 
 bool HttpServerConnection::mayOweResponse() const
 {
-    if (m_isClosed || m_isLingering)
+    if (m_isClosed)
+        return false;
+    if (isSending())
+        return true;
+    if (m_isLingering)
         return false;
     return !m_hasAnswered || m_exchange || m_parser.hasBegun() || !m_pending.empty();
 }
@@ -298,6 +302,9 @@
     const auto self = shared_from_this();
     m_shared->m_budget->setQueued(*this, 0);
     m_shared->m_loop.cancel(m_writeTimer);
+    m_writeTimer = 0;
+    if (m_isLingering && !m_isClosed)
+        setTimer(lingerTime);
     const auto exchange = m_exchange;
     if (exchange && exchange->m_drained)
         exchange->m_drained();
@@ -361,7 +368,11 @@
     if (std::exchange(m_isPaused, false))
         m_stream->resumeReading();
     m_stream->finishWriting();
-    setTimer(lingerTime);
+    // The client closes when it has read everything; how long it may read nothing is another timer.
+    if (isSending())
+        m_shared->m_loop.cancel(m_timer);
+    else
+        setTimer(lingerTime);
 }
 
 void HttpServerConnection::streamEnded(StreamEnd)
--- a/src/burdockhead/net/httpserverconnection.h
+++ b/src/burdockhead/net/httpserverconnection.h
@@ -38,12 +38,16 @@
     bool start();
 
     // Closes the connection if no request is in work and none has begun to arrive, unless it is
-    // still to get its first one.
+    // still to get its first one or to send some of a response.
     void closeIfIdle();
 
-    // Whether a request is in work, has begun to arrive, or would be the connection's first.
+    // Whether a request is in work, has begun to arrive, or would be the connection's first, or a
+    // response is being sent.
     bool mayOweResponse() const;
 
+    // Whether some of a response still waits for the client to read.
+    bool isSending() const { return !m_isClosed && queuedBytes() > 0; }
+
     void write(std::string_view bytes);
     std::size_t queuedBytes() const { return m_stream->queuedBytes(); }
     void answerEnded(HttpExchange &exchange, bool isWhole);
@@ -91,7 +95,7 @@
     bool m_hasNoRoom = false; // The budget has none for the request.
     bool m_isInBudget = false;
     bool m_isConsuming = false;
-    bool m_isLingering = false; // Everything is written; waits for the client to close.
+    bool m_isLingering = false; // Writes nothing new; waits for the client to read and to close.
     bool m_isClosed = false;
 };
 
--- a/tests/internal/net/loopback.h
+++ b/tests/internal/net/loopback.h
@@ -38,6 +38,7 @@
     void write(std::string_view bytes) { m_stream->write(bytes); }
     void close() { m_stream->close(); }
     void pauseReading() { m_stream->pauseReading(); }
+    void resumeReading() { m_stream->resumeReading(); }
     const std::string &received() const { return m_received; }
     bool hasEnded() const { return m_hasEnded; }
 
--- a/tests/internal/net/test_httplistener.cpp
+++ b/tests/internal/net/test_httplistener.cpp
@@ -79,6 +79,29 @@
     }
 }
 
+// During a planned stop, connections ended a second after their response was queued.
+BOOST_AUTO_TEST_CASE(a_response_is_sent_whole_before_its_connection_is_closed)
+{
+    constexpr std::size_t bodyBytes = 24 << 20; // More than the buffers of the network take.
+    HttpServerLimits limits;
+    limits.m_maxQueuedBytes = 2 * bodyBytes;
+    m_server.m_listener.setLimits(limits);
+    m_client.write("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_client.pauseReading();
+    m_server.m_listener.closeAfterAnswers();
+    m_server.m_exchanges[0]->answer(200, {}, std::string(bodyBytes, 'x'));
+    m_server.m_listener.closeIdle();
+    const TimePoint end = Clock::now() + Milliseconds(1500);
+    runUntil(m_loop, [&] { return Clock::now() > end; });
+    BOOST_TEST(m_server.m_listener.isSendingResponses());
+    BOOST_TEST(m_server.m_listener.mayOweResponses());
+    m_client.resumeReading();
+    runUntil(m_loop, [&] { return m_client.hasEnded(); });
+    BOOST_TEST(m_client.received().size() > bodyBytes);
+    BOOST_TEST(!m_server.m_listener.mayOweResponses());
+}
+
 BOOST_AUTO_TEST_CASE(a_client_that_leaves_while_its_request_is_in_work_is_noticed)
 {
     m_client.write("GET /a HTTP/1.1\r\n\r\n");
